--- /dev/null
+++ b/include/rattan/id_type.hpp
@@ -0,0 +1,32 @@
+/** @file Ids of everything that the processes talk about. */
+#pragma once
+
+#include "rattan/strong_type.hpp"
+
+namespace rattan {
+
+using team_id = strong_name<struct team_tag>;
+using plan_id = strong_name<struct plan_tag>;
+using data_centre_id = strong_name<struct data_centre_tag>;
+using host_id = strong_name<struct host_tag>;     ///< An entry host.
+using worker_id = strong_name<struct worker_tag>; ///< Runs tasks.
+using runner_id = strong_name<struct runner_tag>; ///< Answers checks.
+using job_id = strong_name<struct job_tag>;
+using request_id = strong_name<struct request_tag>; ///< Chosen by a caller.
+using key_id = strong_name<struct key_tag>;
+using holder_id = strong_name<struct holder_tag>; ///< Holds quota slices.
+
+/** Log position of a claim; a higher one fences all lower ones. */
+using epoch = strong_number<struct epoch_tag>;
+/** Log position of a configuration record; 0 is "none yet". */
+using config_version = strong_number<struct config_version_tag>;
+
+/** One task of a job. */
+struct task_ref {
+    job_id job;
+    std::int32_t index = 0; ///< From 0 to the job's task count.
+
+    auto operator<=>(const task_ref&) const = default;
+};
+
+} // namespace rattan
--- /dev/null
+++ b/include/rattan/strong_type.hpp
@@ -0,0 +1,38 @@
+/** @file Typedefs that do not convert into each other. */
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <utility>
+
+namespace rattan {
+
+/** A name of one kind of thing; names of other kinds do not compare to it. */
+template <typename Tag>
+struct strong_name {
+    std::string value; ///< As written in declarations and on the wire.
+
+    auto operator<=>(const strong_name&) const = default;
+
+    /** Tells whether no name was given. */
+    [[nodiscard]] bool empty() const { return value.empty(); }
+};
+
+/** A whole number of one kind, ordered, without arithmetic. */
+template <typename Tag>
+struct strong_number {
+    std::int64_t value = 0;
+
+    auto operator<=>(const strong_number&) const = default;
+};
+
+} // namespace rattan
+
+template <typename Tag>
+struct std::hash<rattan::strong_name<Tag>> {
+    std::size_t operator()(const rattan::strong_name<Tag>& name) const {
+        return std::hash<std::string>()(name.value);
+    }
+};
--- /dev/null
+++ b/src/adapter/http_worker_client.hpp
@@ -0,0 +1,27 @@
+/** @file Orders to workers over HTTP and JSON. */
+#pragma once
+
+#include "adapter/worker_client.hpp"
+#include "net/http_client.hpp"
+
+#include <cstdint>
+
+namespace rattan {
+
+/** `POST /v1/orders`. */
+class http_worker_client : public worker_client {
+public:
+    explicit http_worker_client(http_client& client) : client_(client) {}
+
+    void order(const std::string& address, const worker_order& order,
+               callback done) override;
+
+    /** Bytes of orders and answers so far. */
+    [[nodiscard]] std::uint64_t bytes() const { return bytes_; }
+
+private:
+    http_client& client_;
+    std::uint64_t bytes_ = 0;
+};
+
+} // namespace rattan
--- /dev/null
+++ b/src/base/metrics_base.cpp
@@ -0,0 +1,106 @@
+#include "base/metrics_base.hpp"
+
+#include <boost/histogram.hpp>
+#include <sys/resource.h>
+
+#include <cstdio>
+#include <fstream>
+#include <unistd.h>
+
+namespace rattan {
+
+namespace bh = boost::histogram;
+
+namespace {
+
+constexpr unsigned BUCKETS = 70;            ///< Ten a decade.
+constexpr double LOWEST_MICROS = 10;        ///< Lower edge.
+constexpr double HIGHEST_MICROS = 1e8;      ///< Upper edge: 100 seconds.
+constexpr double MICROS_A_SECOND = 1000000; ///< For Prometheus' seconds.
+
+using log_axis = bh::axis::regular<double, bh::axis::transform::log>;
+using histogram_type = decltype(bh::make_histogram(log_axis()));
+
+/** Seconds of a timeval. */
+double seconds(const timeval& time) {
+    return static_cast<double>(time.tv_sec) +
+           static_cast<double>(time.tv_usec) / MICROS_A_SECOND;
+}
+
+/** Resident memory of this process in bytes. */
+double resident_bytes() {
+    std::ifstream statm("/proc/self/statm");
+    long pages = 0;
+    long resident = 0;
+    statm >> pages >> resident;
+    return static_cast<double>(resident) *
+           static_cast<double>(sysconf(_SC_PAGESIZE));
+}
+
+} // namespace
+
+struct latency_histogram::body {
+    histogram_type counts = bh::make_histogram(
+        log_axis(BUCKETS, LOWEST_MICROS, HIGHEST_MICROS, "micros"));
+    std::uint64_t total = 0;
+    double sum_micros = 0;
+};
+
+latency_histogram::latency_histogram() : body_(std::make_unique<body>()) {}
+latency_histogram::~latency_histogram() = default;
+
+void latency_histogram::record(std::int64_t micros) {
+    body_->counts(static_cast<double>(micros));
+    ++body_->total;
+    body_->sum_micros += static_cast<double>(micros);
+}
+
+double latency_histogram::quantile(double fraction) const {
+    const double wanted = fraction * static_cast<double>(body_->total);
+    double seen = 0;
+    for (auto&& cell : bh::indexed(body_->counts, bh::coverage::all)) {
+        seen += *cell;
+        if (seen >= wanted && seen > 0)
+            return cell.bin().upper();
+    }
+    return HIGHEST_MICROS;
+}
+
+void latency_histogram::write_text(const std::string& name,
+                                   std::string& out) const {
+    double seen = 0;
+    char line[256];
+    for (auto&& cell : bh::indexed(body_->counts, bh::coverage::all)) {
+        seen += *cell;
+        if (*cell == 0 || cell.index() >= static_cast<int>(BUCKETS))
+            continue;
+        std::snprintf(line, sizeof line, "%s_bucket{le=\"%g\"} %.0f\n",
+                      name.c_str(), cell.bin().upper() / MICROS_A_SECOND, seen);
+        out += line;
+    }
+    std::snprintf(line, sizeof line,
+                  "%s_bucket{le=\"+Inf\"} %.0f\n%s_sum %g\n%s_count %llu\n",
+                  name.c_str(), static_cast<double>(body_->total), name.c_str(),
+                  body_->sum_micros / MICROS_A_SECOND, name.c_str(),
+                  static_cast<unsigned long long>(body_->total));
+    out += line;
+}
+
+std::string metrics_registry::text() const {
+    std::string out;
+    for (const auto& [name, value] : counters_)
+        out += "rattan_" + name + "_total " + std::to_string(value) + "\n";
+    for (const auto& [name, value] : gauges_)
+        out += "rattan_" + name + " " + std::to_string(value) + "\n";
+    for (const auto& [name, histogram] : histograms_)
+        histogram.write_text("rattan_" + name + "_seconds", out);
+    rusage usage{};
+    getrusage(RUSAGE_SELF, &usage);
+    out += "process_cpu_seconds_total " +
+           std::to_string(seconds(usage.ru_utime) + seconds(usage.ru_stime)) +
+           "\nprocess_resident_memory_bytes " +
+           std::to_string(resident_bytes()) + "\n";
+    return out;
+}
+
+} // namespace rattan
--- /dev/null
+++ b/src/base/settings_reader.cpp
@@ -0,0 +1,136 @@
+#include "base/settings_reader.hpp"
+
+#include "rattan/error_type.hpp"
+
+#include <arpa/inet.h>
+#include <charconv>
+
+namespace rattan {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr int MAX_PORT = 65535;
+
+/** Tells whether a text is an IPv4 number and a port. */
+bool is_address(const std::string& text) {
+    const size_t colon = text.find(':');
+    if (colon == std::string::npos)
+        return false;
+    in_addr parsed{};
+    if (inet_pton(AF_INET, text.substr(0, colon).c_str(), &parsed) != 1)
+        return false;
+    int port = 0;
+    const char* end = text.data() + text.size();
+    const auto [stop, failure] =
+        std::from_chars(text.data() + colon + 1, end, port);
+    return failure == std::errc() && stop == end && port > 0 &&
+           port <= MAX_PORT;
+}
+
+} // namespace
+
+settings_reader::settings_reader(const std::filesystem::path& file)
+    : file_(file.string()), document_(load_yaml(file)) {
+    if (!document_.value.is_object())
+        throw config_error(file_, 1, "file", "must be a mapping of fields");
+}
+
+void settings_reader::refuse(const std::string& field,
+                             const std::string& mend) const {
+    throw config_error(file_, document_.line_of(field), field, mend);
+}
+
+const json* settings_reader::find(const std::string& field) {
+    known_.insert(field);
+    return document_.value.contains(field) ? &document_.value.at(field)
+                                           : nullptr;
+}
+
+std::string settings_reader::text(const std::string& field) {
+    const json* value = find(field);
+    if (value == nullptr)
+        refuse(field, "is required: a text");
+    if (!value->is_string() || value->get<std::string>().empty())
+        refuse(field, "must be a text");
+    return value->get<std::string>();
+}
+
+std::string settings_reader::text(const std::string& field,
+                                  const std::string& fallback) {
+    return find(field) == nullptr ? fallback : text(field);
+}
+
+void settings_reader::check_address(const std::string& field,
+                                    const std::string& value) const {
+    if (!is_address(value))
+        refuse(field, "must be an IP number and a port, as in "
+                      "127.0.0.1:7000, not " +
+                          value);
+}
+
+std::string settings_reader::address(const std::string& field) {
+    std::string value = text(field);
+    check_address(field, value);
+    return value;
+}
+
+std::vector<std::string> settings_reader::addresses(const std::string& field,
+                                                    size_t least) {
+    std::vector<std::string> values;
+    const json* list = find(field);
+    if (list != nullptr) {
+        if (!list->is_array())
+            refuse(field, "must be a list of addresses");
+        for (const json& entry : *list) {
+            if (!entry.is_string())
+                refuse(field, "must be a list of addresses");
+            values.push_back(entry.get<std::string>());
+            check_address(field, values.back());
+        }
+    }
+    if (values.size() < least)
+        refuse(field, "needs at least " + std::to_string(least) + " addresses");
+    return values;
+}
+
+std::map<std::string, std::string>
+settings_reader::texts_by_name(const std::string& field) {
+    std::map<std::string, std::string> values;
+    const json* object = find(field);
+    if (object == nullptr)
+        return values;
+    if (!object->is_object())
+        refuse(field, "must be a mapping of names to texts");
+    for (const auto& [name, value] : object->items()) {
+        if (!value.is_string())
+            refuse(field + "." + name, "must be a text");
+        values[name] = value.get<std::string>();
+    }
+    return values;
+}
+
+std::int64_t settings_reader::number(const std::string& field, std::int64_t low,
+                                     std::int64_t high, std::int64_t fallback) {
+    const json* value = find(field);
+    if (value == nullptr)
+        return fallback;
+    if (!value->is_number_integer() || *value < low || *value > high)
+        refuse(field, "must be a whole number from " + std::to_string(low) +
+                          " to " + std::to_string(high));
+    return value->get<std::int64_t>();
+}
+
+millis settings_reader::time(const std::string& field, millis low, millis high,
+                             millis fallback) {
+    return millis(number(field, low.count(), high.count(), fallback.count()));
+}
+
+void settings_reader::finish() const {
+    for (const auto& [name, value] : document_.value.items())
+        if (!known_.contains(name))
+            refuse(name, "unknown field; remove it");
+}
+
+} // namespace rattan
--- /dev/null
+++ b/src/fold/record_codec.hpp
@@ -0,0 +1,71 @@
+/** @file Log entries and groups as JSON. */
+#pragma once
+
+#include "rattan/json_func.hpp"
+#include "rattan/record_type.hpp"
+
+#include <string>
+
+namespace rattan {
+
+NLOHMANN_JSON_SERIALIZE_ENUM(quota_kind,
+                             {{quota_kind::milli_cores, "milli_cores"},
+                              {quota_kind::accelerators, "accelerators"},
+                              {quota_kind::checks, "checks"}})
+NLOHMANN_JSON_SERIALIZE_ENUM(work_kind, {{work_kind::check, "check"},
+                                         {work_kind::batch, "batch"},
+                                         {work_kind::watch, "watch"}})
+NLOHMANN_JSON_SERIALIZE_ENUM(drain_policy, {{drain_policy::move, "move"},
+                                            {drain_policy::finish, "finish"}})
+NLOHMANN_JSON_SERIALIZE_ENUM(job_outcome,
+                             {{job_outcome::done, "done"},
+                              {job_outcome::failed, "failed"},
+                              {job_outcome::cancelled, "cancelled"},
+                              {job_outcome::unknown, "unknown"}})
+NLOHMANN_JSON_SERIALIZE_ENUM(host_state, {{host_state::live, "live"},
+                                          {host_state::leaving, "leaving"}})
+
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(worker_info, id, data_centre, rack, address,
+                                   owned)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(runner_info, id, data_centre, address, slots)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(listed_worker, info, state)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(listed_runner, info, state)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(host_list, version, workers, runners)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(job_spec, team, key, plan, request, kind,
+                                   tasks, shape, run_ms, restartable, urgent,
+                                   drain, max_attempts, data_centre, payload)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(config_change, base, set, drop,
+                                   operator_name, token)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(centre_claim, data_centre, host, incarnation,
+                                   address, base)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(worker_enlist, owner, worker)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(worker_retire, owner, worker)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(job_accept, job, spec)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(job_start, job, owner)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(job_end, job, owner, outcome, reason)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(job_cancel, job, team)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(job_move, job, owner, target)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(quota_want, holder, owner, team, kind,
+                                   amount, serial)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(quota_cede, holder, owner, team, kind,
+                                   amount, serial)
+
+/** One entry as text, with its type's name under `t`. */
+std::string encode_entry(const log_entry& entry);
+
+/** @throw decode_error when the text is not an entry. */
+log_entry decode_entry(const std::string& text);
+
+/** The text of a group made of encoded entries. */
+std::string encode_group(const host_id& writer, std::int64_t incarnation,
+                         std::int64_t sequence,
+                         const std::vector<std::string>& entries);
+
+/**
+ * Reads a group; entries of unknown type or form are kept out, alike for
+ * every reader.
+ * @throw decode_error when the text is not a group.
+ */
+log_group decode_group(const std::string& text);
+
+} // namespace rattan
--- /dev/null
+++ b/src/gate/gate_main.cpp
@@ -0,0 +1,51 @@
+/** @file The gate's program. */
+#include "gate/gate_service.hpp"
+
+#include "rattan/error_type.hpp"
+
+namespace {
+
+/** Reads a gate's settings. */
+rattan::gate_settings read_settings(rattan::settings_reader& reader) {
+    using rattan::millis;
+    rattan::gate_settings settings;
+    settings.process = rattan::read_process_settings(reader);
+    settings.gates = reader.texts_by_name("gates");
+    settings.callers.body_bytes = static_cast<size_t>(
+        reader.number("max_body_bytes", 1'024, 64 << 20, 1 << 20));
+    settings.callers.connections = static_cast<unsigned>(
+        reader.number("max_connections", 1, 100'000, 1'000));
+    settings.callers.idle_s =
+        static_cast<unsigned>(reader.number("idle_s", 1, 3'600, 30));
+    settings.default_deadline = reader.time("default_deadline_ms", millis(1),
+                                            millis(60'000), millis(1'000));
+    settings.longest_deadline = reader.time("longest_deadline_ms", millis(1),
+                                            millis(60'000), millis(5'000));
+    settings.leave_grace = reader.time("leave_grace_ms", millis(0),
+                                       millis(600'000), millis(5'000));
+    settings.clock_skew =
+        reader.time("clock_skew_ms", millis(0), millis(60'000), millis(2'000));
+    settings.choice = reader.text("choice", "least_wait");
+    if (!rattan::choice_policies().contains(settings.choice))
+        throw rattan::config_error("settings", 0, "choice",
+                                   "must be least_wait, two_choices or random");
+    if (settings.process.relays.empty())
+        throw rattan::config_error("settings", 0, "relays",
+                                   "needs at least 1 address");
+    reader.finish();
+    return settings;
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    return rattan::run_program(
+        argc, argv,
+        {.name = "rattan_gate",
+         .run = [](rattan::event_loop& loop, rattan::settings_reader& reader) {
+             rattan::gate_service service(loop, read_settings(reader));
+             loop.on_signals([&] { service.leave(); }, [] {});
+             service.start();
+             loop.run();
+         }});
+}
--- /dev/null
+++ b/src/gate/gate_service.cpp
@@ -0,0 +1,245 @@
+#include "gate/gate_service.hpp"
+
+#include "base/log_func.hpp"
+#include "fold/request_func.hpp"
+#include "net/wire_func.hpp"
+
+#include <algorithm>
+
+namespace rattan {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr millis TICK_PERIOD{20};
+constexpr millis LEAVE_POLL{50};
+/** No request for this long: the balancer has taken this gate out. */
+constexpr millis LEAVE_QUIET{1'000};
+constexpr double RETRY_RATIO = 0.1;
+constexpr double SAVED_RETRIES = 50;
+/** Of about 60 connections a runner has, for its data centre's gates. */
+constexpr http_client_limits RUNNER_LIMITS{.connections_a_target = 10};
+
+} // namespace
+
+gate_service::gate_service(event_loop& loop, gate_settings settings)
+    : loop_(loop), settings_(std::move(settings)), client_(loop, RUNNER_LIMITS),
+      runner_client_(client_), rpc_(loop, settings_.process.rpc),
+      http_(loop, settings_.process.http, settings_.callers,
+            [this](const http_request& request, const http_answer_fn& answer) {
+                on_http(request, answer);
+            }),
+      feed_(loop, settings_.process.relays,
+            {.on_restore = [this] { update_runners(); },
+             .on_entry =
+                 [this](const log_entry& entry, const entry_place&,
+                        fold_verdict verdict) { on_entry(entry, verdict); },
+             .on_hosts = [this](const host_list&) { update_runners(); },
+             .on_page =
+                 [this] {
+                     update_runners();
+                     pump_checks();
+                 }}),
+      quota_(gate_holder(settings_.process.host)),
+      runners_(choice_policies().at(settings_.choice),
+               static_cast<std::uint64_t>(wall_millis())),
+      window_(wall_millis(), settings_.clock_skew.count()),
+      retries_(RETRY_RATIO, SAVED_RETRIES) {
+    for (const auto& [host, address] : settings_.gates)
+        if (host != settings_.process.host.value)
+            gates_[host] = std::make_unique<rpc_client>(loop, address);
+}
+
+void gate_service::start() {
+    started_ = event_loop::now();
+    rpc_.on(wire::method::CHECK, [this](const std::string& body,
+                                        const rpc_server::responder& answer) {
+        on_check_call(wire_decode<wire::check_request>(body), answer);
+    });
+    feed_.start();
+    loop_.every(TICK_PERIOD, [this] { tick(); });
+    // What an earlier process of this gate had running ends by then, and
+    // request ids that callers make are ones it can't have seen.
+    loop_.after(std::max(settings_.longest_deadline, settings_.clock_skew * 3),
+                [this] { begin_spending(); });
+    log_event(log_level::info, "started",
+              {{"host", settings_.process.host.value}});
+}
+
+void gate_service::begin_spending() {
+    feed_.when_settled([this](bool settled) {
+        if (!settled) {
+            loop_.after(TICK_PERIOD * 10, [this] { begin_spending(); });
+            return;
+        }
+        settled_ = true;
+        log_event(log_level::info, "ready");
+    });
+}
+
+void gate_service::leave() {
+    if (leaving_)
+        return;
+    leaving_ = true;
+    last_request_ = event_loop::now();
+    log_event(log_level::info, "leaving");
+    http_.drain();
+    const mono_time earliest = event_loop::now() + settings_.leave_grace;
+    loop_.every(LEAVE_POLL, [this, earliest] {
+        const mono_time now = event_loop::now();
+        if (now < earliest || now - last_request_ < LEAVE_QUIET)
+            return;
+        if (http_.in_flight() > 0 || !checks_.empty())
+            return;
+        log_event(log_level::info, "left");
+        loop_.stop();
+    });
+}
+
+bool gate_service::is_ready() const {
+    return settled_ && !leaving_ &&
+           feed_.fresh().may_serve(
+               event_loop::now(),
+               feed_.state().config.in_force.cell.isolation_limit);
+}
+
+bool gate_service::may_serve(const caller& who) const {
+    const millis cell = feed_.state().config.in_force.cell.isolation_limit;
+    const millis limit = std::min(cell, who.isolation_limit.value_or(cell));
+    return feed_.started() && feed_.fresh().may_serve(event_loop::now(), limit);
+}
+
+void gate_service::tick() {
+    expire_checks();
+    expire_jobs();
+    pump_checks();
+    if (!feed_.started() || !settled_)
+        return;
+    for (const auto& [team, count] : queue_.waiting())
+        quota_.demand({team, quota_kind::checks}, count);
+    const auto records = quota_.tick(feed_.state(), event_loop::now());
+    if (records.empty())
+        return;
+    metrics_.counter("quota_records") += records.size();
+    feed_.append(records, settings_.default_deadline, [](const rpc_answer&) {});
+}
+
+void gate_service::on_http(const http_request& request,
+                           const http_answer_fn& answer) {
+    const bool handled =
+        answer_admin(request, metrics_,
+                     {.is_ready = [this] { return is_ready(); },
+                      .dump = [this] { return dump(); },
+                      .state = [this] { return state_json(); }},
+                     answer);
+    if (handled)
+        return;
+    last_request_ = event_loop::now();
+    ++metrics_.counter("requests");
+    const std::string id = request.request_id;
+    const http_answer_fn with_id = [this, answer, id](const http_reply& reply) {
+        http_reply named = reply;
+        named.request_id = id;
+        if (reply.status / 100 != 2)
+            ++metrics_.counter("refused_" + std::to_string(reply.status));
+        answer(named);
+    };
+    route(request, with_id);
+}
+
+void gate_service::route(const http_request& request,
+                         const http_answer_fn& answer) {
+    const std::string job_path = "/v1/jobs/";
+    if (request.method == "POST" && request.path == "/v1/checks")
+        return on_check(request, answer);
+    if (request.method == "POST" && request.path == "/v1/jobs")
+        return on_submit(request, answer);
+    if (request.method == "GET" && request.path == "/v1/jobs")
+        return on_list(request, answer);
+    if ((request.method == "GET" || request.method == "DELETE") &&
+        request.path.starts_with(job_path))
+        return on_job(request, answer);
+    answer(make_problem({.status = 404,
+                         .type = "unknown-path",
+                         .detail = request.method + " " + request.path}));
+}
+
+run_state gate_service::state_of_refused(const http_request& request,
+                                         refusal which) const {
+    if (which == refusal::unknown_outcome ||
+        which == refusal::home_out_of_reach ||
+        which == refusal::request_too_old)
+        return run_state::may_have_run;
+    if (request.request_id.empty() || request.attempt == 1)
+        return run_state::not_run;
+    // An earlier sending of this id may be on its way into the log, or
+    // stands there already.
+    if (which == refusal::log_out_of_reach || which == refusal::stale ||
+        which == refusal::leaving || which == refusal::out_of_service)
+        return run_state::may_have_run;
+    const request_id id{request.request_id};
+    for (const auto& [job, live] : feed_.state().jobs)
+        if (live.spec.request == id)
+            return run_state::may_have_run;
+    for (const auto& [job, ended] : feed_.state().ended)
+        if (ended.request == id)
+            return run_state::may_have_run;
+    return run_state::not_run;
+}
+
+void gate_service::refuse(const http_request& request,
+                          const http_answer_fn& answer,
+                          const refused& why) const {
+    const refusal_text& text = text_of(why.which);
+    answer(make_problem({.status = text.status,
+                         .type = text.type,
+                         .detail = why.detail,
+                         .state = state_of_refused(request, why.which),
+                         .retry_after_s = text.retry_after_s}));
+}
+
+bool gate_service::refuse_unready(const http_request& request,
+                                  const http_answer_fn& answer) {
+    if (feed_.started())
+        return false;
+    refuse(request, answer,
+           {refusal::stale, "this gate has not caught up with the log"});
+    return true;
+}
+
+json gate_service::state_json() const {
+    const mono_time now = event_loop::now();
+    const config_state& config = feed_.state().config;
+    return {{"program", "gate"},
+            {"host", settings_.process.host.value},
+            {"data_centre", settings_.process.data_centre.value},
+            {"version", config.version.value},
+            {"accepted_ms", config.accepted_ms},
+            {"next_offset", feed_.state().next_offset},
+            {"current_age_ms", (now - feed_.fresh().current).count()},
+            {"log_reachable", feed_.fresh().log_reachable},
+            {"ready", is_ready()}};
+}
+
+json gate_service::dump() const {
+    json runners = json::object();
+    for (const auto& [id, runner] : runners_.runners())
+        runners[id.value] = {{"credit", runner.credit},
+                             {"in_use", runner.in_use},
+                             {"latency_ms", runner.latency_ms},
+                             {"failures", runner.failures},
+                             {"leaving", runner.leaving}};
+    json spent = json::object();
+    for (const auto& [team, ignored] : feed_.state().config.in_force.teams)
+        spent[team.value] = quota_.spent({team, quota_kind::checks});
+    return {{"state", state_json()},
+            {"runners", runners},
+            {"checks_under_way", spent},
+            {"queued_checks", queue_.size()},
+            {"remembered_requests", window_.size()},
+            {"waiting_jobs", waiting_jobs_.size()},
+            {"counters", metrics_.counters()}};
+}
+
+} // namespace rattan
--- /dev/null
+++ b/src/net/event_loop.hpp
@@ -0,0 +1,70 @@
+/** @file The one thread of a process: sockets, timers, deferred calls. */
+#pragma once
+
+#include "rattan/unit_type.hpp"
+
+#include <ace/Reactor.h>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace rattan {
+
+/** Runs everything of a process on an ACE reactor (epoll). */
+class event_loop {
+public:
+    using callback = std::function<void()>;
+
+    event_loop();
+    ~event_loop();
+    event_loop(const event_loop&) = delete;
+    event_loop& operator=(const event_loop&) = delete;
+
+    /** Handles events until `stop`. */
+    void run();
+
+    /** Ends `run` after the present round. */
+    void stop() { stopped_ = true; }
+
+    /** Time that never goes back. */
+    [[nodiscard]] static mono_time now();
+
+    /** The same clock in microseconds, for latencies. */
+    [[nodiscard]] static std::int64_t now_micros();
+
+    /** Calls once, `delay` from now. @return An id for `cancel`, over 0. */
+    long after(millis delay, callback call);
+
+    /** Calls again and again until the loop ends. */
+    void every(millis period, callback call);
+
+    /** Forgets a call of `after` that has not happened. */
+    void cancel(long timer);
+
+    /** Calls before the loop waits again. */
+    void defer(callback call) { deferred_.push_back(std::move(call)); }
+
+    /** The reactor, for handlers of sockets. */
+    [[nodiscard]] ACE_Reactor& reactor() { return *reactor_; }
+
+    /** Calls on SIGTERM and SIGINT (leave) and SIGUSR1 (dump). */
+    void on_signals(callback leave, callback dump);
+
+private:
+    class timer_handler;
+
+    /** Calls what was deferred up to now. */
+    void run_deferred();
+
+    std::unique_ptr<ACE_Reactor> reactor_;
+    std::map<long, timer_handler*> timers_; ///< Pending calls of `after`.
+    long next_timer_ = 1;
+    std::deque<callback> deferred_;
+    callback leave_;
+    callback dump_;
+    bool stopped_ = false;
+};
+
+} // namespace rattan
--- /dev/null
+++ b/src/net/http_client.cpp
@@ -0,0 +1,293 @@
+#include "net/http_client.hpp"
+
+#include "rattan/error_type.hpp"
+
+#include <ace/Event_Handler.h>
+#include <curl/curl.h>
+
+#include <map>
+#include <strings.h>
+#include <unordered_map>
+#include <utility>
+
+namespace rattan {
+
+namespace {
+
+constexpr size_t MAX_ANSWER_BYTES = 16U << 20U;
+
+/** One call under way. */
+struct transfer {
+    http_call call;
+    http_client::callback done;
+    http_answer answer;
+    curl_slist* headers = nullptr;
+    int attempts = 0; ///< Requests begun on a connection.
+
+    ~transfer() { curl_slist_free_all(headers); }
+};
+
+/** Collects the answer's body, within bounds. */
+size_t take_body(char* data, size_t size, size_t count, void* target) {
+    auto& body = static_cast<transfer*>(target)->answer.body;
+    if (body.size() + size * count > MAX_ANSWER_BYTES)
+        return 0;
+    body.append(data, size * count);
+    return size * count;
+}
+
+/** Keeps the request id that the target repeated. */
+size_t take_header(char* data, size_t size, size_t count, void* target) {
+    constexpr std::string_view name = "x-request-id:";
+    std::string_view line(data, size * count);
+    if (line.size() > name.size() &&
+        strncasecmp(line.data(), name.data(), name.size()) == 0) {
+        line.remove_prefix(name.size());
+        while (!line.empty() && line.front() == ' ')
+            line.remove_prefix(1);
+        while (!line.empty() && (line.back() == '\r' || line.back() == '\n'))
+            line.remove_suffix(1);
+        static_cast<transfer*>(target)->answer.request_id = line;
+    }
+    return size * count;
+}
+
+/**
+ * Called before each request on a connection. The library would send a
+ * request again when a kept connection dies under it; a second sending is
+ * refused here, since the first may have had its effect.
+ */
+int before_request(void* target, char*, char*, int, int) {
+    auto* state = static_cast<transfer*>(target);
+    return ++state->attempts == 1 ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+}
+
+} // namespace
+
+class http_client::body : public ACE_Event_Handler {
+public:
+    body(event_loop& loop, const http_client_limits& limits);
+    ~body() override;
+
+    void start(const http_call& call, callback done);
+
+    int handle_input(ACE_HANDLE handle) override {
+        return act(handle, CURL_CSELECT_IN);
+    }
+    int handle_output(ACE_HANDLE handle) override {
+        return act(handle, CURL_CSELECT_OUT);
+    }
+
+private:
+    /** One socket of the library, in the reactor. */
+    class socket_handler : public ACE_Event_Handler {
+    public:
+        socket_handler(body& owner, ACE_HANDLE handle)
+            : owner_(owner), handle_(handle) {}
+        ACE_HANDLE get_handle() const override { return handle_; }
+        int handle_input(ACE_HANDLE) override {
+            return owner_.act(handle_, CURL_CSELECT_IN);
+        }
+        int handle_output(ACE_HANDLE) override {
+            return owner_.act(handle_, CURL_CSELECT_OUT);
+        }
+        bool registered = false;
+
+    private:
+        body& owner_;
+        ACE_HANDLE handle_;
+    };
+
+    static int on_socket(CURL*, curl_socket_t handle, int what, void* self,
+                         void*);
+    static int on_timer(CURLM*, long timeout_ms, void* self);
+
+    int act(ACE_HANDLE handle, int what);
+    /** Ends the transfers that the library has finished. */
+    void reap();
+    /** Sets the library's options of one call. */
+    void set_options(CURL* easy, transfer& state) const;
+
+    event_loop& loop_;
+    http_client_limits limits_;
+    CURLM* multi_;
+    long timer_ = 0;
+    std::unordered_map<CURL*, std::unique_ptr<transfer>> transfers_;
+    std::map<ACE_HANDLE, std::unique_ptr<socket_handler>> sockets_;
+    std::vector<CURL*> idle_; ///< Handles to use again.
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+http_client::body::body(event_loop& loop, const http_client_limits& limits)
+    : loop_(loop), limits_(limits) {
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+    multi_ = curl_multi_init();
+    curl_multi_setopt(multi_, CURLMOPT_SOCKETFUNCTION, &body::on_socket);
+    curl_multi_setopt(multi_, CURLMOPT_SOCKETDATA, this);
+    curl_multi_setopt(multi_, CURLMOPT_TIMERFUNCTION, &body::on_timer);
+    curl_multi_setopt(multi_, CURLMOPT_TIMERDATA, this);
+    curl_multi_setopt(multi_, CURLMOPT_MAX_HOST_CONNECTIONS,
+                      limits.connections_a_target);
+    curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, 1024L);
+}
+
+http_client::body::~body() {
+    alive_.reset();
+    loop_.cancel(timer_);
+    for (auto& [easy, state] : transfers_) {
+        curl_multi_remove_handle(multi_, easy);
+        curl_easy_cleanup(easy);
+    }
+    for (CURL* easy : idle_)
+        curl_easy_cleanup(easy);
+    curl_multi_cleanup(multi_);
+    for (auto& [handle, socket] : sockets_)
+        loop_.reactor().remove_handler(socket.get(),
+                                       ACE_Event_Handler::ALL_EVENTS_MASK |
+                                           ACE_Event_Handler::DONT_CALL);
+}
+
+int http_client::body::on_socket(CURL*, curl_socket_t handle, int what,
+                                 void* self, void*) {
+    auto* client = static_cast<body*>(self);
+    ACE_Reactor& reactor = client->loop_.reactor();
+    auto& socket = client->sockets_[handle];
+    if (what == CURL_POLL_REMOVE) {
+        if (!socket)
+            return 0;
+        reactor.remove_handler(socket.get(),
+                               ACE_Event_Handler::ALL_EVENTS_MASK |
+                                   ACE_Event_Handler::DONT_CALL);
+        // The handler may be in an upcall of the reactor.
+        client->loop_.defer(
+            [held = std::shared_ptr<socket_handler>(std::move(socket))] {});
+        client->sockets_.erase(handle);
+        return 0;
+    }
+    if (!socket)
+        socket = std::make_unique<socket_handler>(*client, handle);
+    ACE_Reactor_Mask mask = ACE_Event_Handler::NULL_MASK;
+    if ((what & CURL_POLL_IN) != 0)
+        mask |= ACE_Event_Handler::READ_MASK;
+    if ((what & CURL_POLL_OUT) != 0)
+        mask |= ACE_Event_Handler::WRITE_MASK;
+    if (!socket->registered) {
+        reactor.register_handler(socket.get(), mask);
+        socket->registered = true;
+    } else {
+        reactor.mask_ops(socket.get(), mask, ACE_Reactor::SET_MASK);
+    }
+    return 0;
+}
+
+int http_client::body::on_timer(CURLM*, long timeout_ms, void* self) {
+    auto* client = static_cast<body*>(self);
+    client->loop_.cancel(std::exchange(client->timer_, 0));
+    if (timeout_ms < 0)
+        return 0;
+    const auto expire = [client, alive = std::weak_ptr(client->alive_)] {
+        if (alive.expired())
+            return;
+        client->timer_ = 0;
+        client->act(CURL_SOCKET_TIMEOUT, 0);
+    };
+    if (timeout_ms == 0)
+        client->loop_.defer(expire);
+    else
+        client->timer_ = client->loop_.after(millis(timeout_ms), expire);
+    return 0;
+}
+
+int http_client::body::act(ACE_HANDLE handle, int what) {
+    int running = 0;
+    curl_multi_socket_action(multi_, handle, what, &running);
+    reap();
+    return 0;
+}
+
+void http_client::body::set_options(CURL* easy, transfer& state) const {
+    const http_call& call = state.call;
+    curl_easy_setopt(easy, CURLOPT_URL, call.url.c_str());
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, call.timeout.count());
+    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+                     call.connect_timeout.count());
+    curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, limits_.idle_s);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &take_body);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, &state);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &take_header);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, &state);
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &before_request);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, &state);
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
+    if (call.method == "POST" || call.method == "PUT") {
+        curl_easy_setopt(easy, CURLOPT_POST, 1L);
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.body.data());
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE,
+                         static_cast<long>(call.body.size()));
+    }
+    state.headers = curl_slist_append(state.headers, "Expect:");
+    state.headers =
+        curl_slist_append(state.headers, "Content-Type: application/json");
+    if (!call.request_id.empty())
+        state.headers = curl_slist_append(
+            state.headers, ("X-Request-Id: " + call.request_id).c_str());
+    if (!call.authorization.empty())
+        state.headers = curl_slist_append(
+            state.headers, ("Authorization: " + call.authorization).c_str());
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, state.headers);
+}
+
+void http_client::body::start(const http_call& call, callback done) {
+    CURL* easy = nullptr;
+    if (idle_.empty()) {
+        easy = curl_easy_init();
+    } else {
+        easy = idle_.back();
+        idle_.pop_back();
+        curl_easy_reset(easy);
+    }
+    auto state = std::make_unique<transfer>();
+    state->call = call;
+    state->done = std::move(done);
+    set_options(easy, *state);
+    transfers_[easy] = std::move(state);
+    curl_multi_add_handle(multi_, easy);
+}
+
+void http_client::body::reap() {
+    int left = 0;
+    while (CURLMsg* message = curl_multi_info_read(multi_, &left)) {
+        if (message->msg != CURLMSG_DONE)
+            continue;
+        CURL* easy = message->easy_handle;
+        const CURLcode code = message->data.result;
+        auto state = std::move(transfers_[easy]);
+        transfers_.erase(easy);
+        long status = 0;
+        curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+        curl_multi_remove_handle(multi_, easy);
+        idle_.push_back(easy);
+        state->answer.status = static_cast<int>(status);
+        if (code == CURLE_OK)
+            state->answer.outcome = http_outcome::answered;
+        else if (state->attempts > 0)
+            state->answer.outcome = http_outcome::unknown;
+        loop_.defer([held = std::shared_ptr<transfer>(std::move(state))] {
+            held->done(held->answer);
+        });
+    }
+}
+
+http_client::http_client(event_loop& loop, const http_client_limits& limits)
+    : body_(std::make_unique<body>(loop, limits)) {}
+
+http_client::~http_client() = default;
+
+void http_client::call(const http_call& call, callback done) {
+    body_->start(call, std::move(done));
+}
+
+} // namespace rattan
--- /dev/null
+++ b/src/net/problem_func.cpp
@@ -0,0 +1,27 @@
+#include "net/problem_func.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace rattan {
+
+const char* run_state_name(run_state state) {
+    constexpr const char* NAMES[] = {"not_run", "may_have_run", "running",
+                                     "done"};
+    return NAMES[static_cast<int>(state)];
+}
+
+http_reply make_problem(const problem& what) {
+    const nlohmann::json body = {{"type", "urn:rattanknot:" + what.type},
+                                 {"title", what.type},
+                                 {"status", what.status},
+                                 {"detail", what.detail},
+                                 {"run_state", run_state_name(what.state)}};
+    return {.status = what.status,
+            .body = body.dump(-1, ' ', false,
+                              nlohmann::json::error_handler_t::replace) +
+                    "\n",
+            .content_type = "application/problem+json",
+            .retry_after_s = what.retry_after_s};
+}
+
+} // namespace rattan
--- /dev/null
+++ b/src/net/rpc_client.cpp
@@ -0,0 +1,179 @@
+#include "net/rpc_client.hpp"
+
+#include "net/wire_func.hpp"
+
+#include <ace/INET_Addr.h>
+#include <ace/SOCK_Connector.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace rattan {
+
+namespace {
+
+constexpr millis FIRST_BACKOFF{50};
+constexpr millis LONGEST_BACKOFF{2000};
+
+} // namespace
+
+rpc_client::rpc_client(event_loop& loop, std::string address)
+    : loop_(loop), address_(std::move(address)),
+      jitter_(std::hash<std::string>()(address_) + std::random_device()()) {}
+
+rpc_client::~rpc_client() {
+    for (auto& [id, waiting] : pending_)
+        loop_.cancel(waiting.timer);
+    if (connecting_ != ACE_INVALID_HANDLE) {
+        loop_.reactor().remove_handler(this,
+                                       ACE_Event_Handler::ALL_EVENTS_MASK |
+                                           ACE_Event_Handler::DONT_CALL);
+        ACE_OS::closesocket(connecting_);
+    }
+}
+
+void rpc_client::call(wire::method::type method, const std::string& body,
+                      millis timeout, callback done) {
+    wire::envelope request;
+    request.id = next_id_++;
+    request.call = method;
+    request.reply = false;
+    request.code = wire::status::OK;
+    request.body = body;
+    const std::int64_t id = request.id;
+    const long timer = loop_.after(timeout, [this, id] {
+        const bool sent = unsent_.erase(id) == 0;
+        finish(id,
+               {.result = sent ? rpc_result::unknown : rpc_result::not_sent});
+    });
+    pending_[id] = {std::move(done), timer};
+    if (stream_ && stream_->is_open()) {
+        stream_->send(wire_encode(request));
+        return;
+    }
+    unsent_[id] = wire_encode(request);
+    connect();
+}
+
+void rpc_client::connect() {
+    if (connecting_ != ACE_INVALID_HANDLE || stream_)
+        return;
+    if (event_loop::now() < next_attempt_) {
+        // Within the backoff: refuse now rather than hold the caller.
+        loop_.defer([this] { connect_failed(); });
+        return;
+    }
+    ACE_SOCK_Stream peer;
+    ACE_SOCK_Connector connector;
+    const ACE_INET_Addr remote(address_.c_str());
+    const ACE_Time_Value no_wait(0, 0);
+    const int result = connector.connect(peer, remote, &no_wait);
+    connecting_ = peer.get_handle();
+    if (result == 0)
+        return connected();
+    if (errno != EWOULDBLOCK && errno != EINPROGRESS && errno != ETIME) {
+        if (connecting_ != ACE_INVALID_HANDLE)
+            ACE_OS::closesocket(connecting_);
+        connecting_ = ACE_INVALID_HANDLE;
+        loop_.defer([this] { connect_failed(); });
+        return;
+    }
+    loop_.reactor().register_handler(this, ACE_Event_Handler::WRITE_MASK |
+                                               ACE_Event_Handler::READ_MASK);
+}
+
+int rpc_client::handle_input(ACE_HANDLE handle) {
+    return handle_output(handle);
+}
+
+int rpc_client::handle_output(ACE_HANDLE) {
+    if (connecting_ == ACE_INVALID_HANDLE)
+        return 0;
+    loop_.reactor().remove_handler(this, ACE_Event_Handler::ALL_EVENTS_MASK |
+                                             ACE_Event_Handler::DONT_CALL);
+    int failure = 0;
+    int length = sizeof failure;
+    ACE_OS::getsockopt(connecting_, SOL_SOCKET, SO_ERROR,
+                       reinterpret_cast<char*>(&failure), &length);
+    if (failure == 0) {
+        connected();
+        return 0;
+    }
+    ACE_OS::closesocket(connecting_);
+    connecting_ = ACE_INVALID_HANDLE;
+    connect_failed();
+    return 0;
+}
+
+void rpc_client::connected() {
+    const ACE_HANDLE handle = connecting_;
+    connecting_ = ACE_INVALID_HANDLE;
+    backoff_ = millis(0);
+    stream_ = std::make_unique<rpc_stream>(
+        loop_, [this](const std::string& frame) { take_frame(frame); },
+        [this] { closed(); });
+    stream_->open(handle);
+    const auto waiting = std::exchange(unsent_, {});
+    for (const auto& [id, frame] : waiting)
+        stream_->send(frame);
+}
+
+void rpc_client::connect_failed() {
+    if (stream_ || connecting_ != ACE_INVALID_HANDLE)
+        return;
+    if (event_loop::now() >= next_attempt_) {
+        backoff_ = std::clamp(backoff_ * 2, FIRST_BACKOFF, LONGEST_BACKOFF);
+        const auto spread = static_cast<std::int64_t>(
+            jitter_() % static_cast<unsigned>(backoff_.count()));
+        next_attempt_ = event_loop::now() + millis(spread);
+    }
+    const auto waiting = std::exchange(unsent_, {});
+    for (const auto& [id, frame] : waiting)
+        finish(id, {.result = rpc_result::not_sent});
+}
+
+void rpc_client::closed() {
+    stream_.reset();
+    std::vector<std::int64_t> lost;
+    for (const auto& [id, waiting] : pending_)
+        if (!unsent_.contains(id))
+            lost.push_back(id);
+    for (const std::int64_t id : lost)
+        finish(id, {.result = rpc_result::unknown});
+    if (!unsent_.empty())
+        connect();
+}
+
+void rpc_client::take_frame(const std::string& frame) {
+    wire::envelope reply;
+    try {
+        reply = wire_decode<wire::envelope>(frame);
+    } catch (const decode_error&) {
+        stream_->shut();
+        loop_.defer([this] { closed(); });
+        return;
+    }
+    if (!pending_.contains(reply.id)) {
+        ++late_;
+        return;
+    }
+    finish(reply.id, {.result = rpc_result::answered,
+                      .code = reply.code,
+                      .body = std::move(reply.body)});
+}
+
+void rpc_client::finish(std::int64_t id, const rpc_answer& answer) {
+    const auto found = pending_.find(id);
+    if (found == pending_.end())
+        return;
+    const pending_call ended = std::move(found->second);
+    pending_.erase(found);
+    loop_.cancel(ended.timer);
+    try {
+        ended.done(answer);
+    } catch (const decode_error&) {
+        ++malformed_;
+    }
+}
+
+} // namespace rattan
--- /dev/null
+++ b/src/net/rpc_server.cpp
@@ -0,0 +1,87 @@
+#include "net/rpc_server.hpp"
+
+#include "net/wire_func.hpp"
+
+#include <ace/INET_Addr.h>
+
+namespace rattan {
+
+namespace {
+
+constexpr int BACKLOG = 128;
+constexpr size_t MAX_CONNECTIONS = 512; ///< Of our own processes.
+
+} // namespace
+
+rpc_server::rpc_server(event_loop& loop, const std::string& address)
+    : loop_(loop) {
+    const ACE_INET_Addr local(address.c_str());
+    if (acceptor_.open(local, 1, PF_INET, BACKLOG) != 0)
+        throw system_error("can't listen on " + address);
+    acceptor_.enable(ACE_NONBLOCK);
+    loop_.reactor().register_handler(this, ACE_Event_Handler::ACCEPT_MASK);
+}
+
+rpc_server::~rpc_server() {
+    loop_.reactor().remove_handler(this, ACE_Event_Handler::ACCEPT_MASK |
+                                             ACE_Event_Handler::DONT_CALL);
+    acceptor_.close();
+}
+
+void rpc_server::on(wire::method::type call, handler handle) {
+    handlers_[call] = std::move(handle);
+}
+
+int rpc_server::handle_input(ACE_HANDLE) {
+    ACE_SOCK_Stream peer;
+    if (acceptor_.accept(peer) != 0)
+        return 0;
+    if (connections_.size() >= MAX_CONNECTIONS) {
+        peer.close();
+        return 0;
+    }
+    const std::uint64_t id = next_connection_++;
+    auto stream = std::make_unique<rpc_stream>(
+        loop_, [this, id](const std::string& frame) { take_frame(id, frame); },
+        [this, id] { connections_.erase(id); });
+    stream->open(peer.get_handle());
+    connections_[id] = std::move(stream);
+    return 0;
+}
+
+void rpc_server::take_frame(std::uint64_t connection,
+                            const std::string& frame) {
+    wire::envelope request;
+    try {
+        request = wire_decode<wire::envelope>(frame);
+    } catch (const decode_error&) {
+        loop_.defer([this, connection] { connections_.erase(connection); });
+        return;
+    }
+    const std::weak_ptr<bool> alive = alive_;
+    responder answer = [this, alive, connection, request](
+                           wire::status::type code, const std::string& body) {
+        if (alive.expired())
+            return;
+        const auto found = connections_.find(connection);
+        if (found == connections_.end())
+            return;
+        wire::envelope reply;
+        reply.id = request.id;
+        reply.call = request.call;
+        reply.reply = true;
+        reply.code = code;
+        reply.body = body;
+        found->second->send(wire_encode(reply));
+    };
+    const auto handler = handlers_.find(request.call);
+    if (handler == handlers_.end())
+        return answer(wire::status::BAD_REQUEST, "");
+    try {
+        handler->second(request.body, answer);
+    } catch (const decode_error&) {
+        answer(wire::status::BAD_REQUEST, "");
+    }
+}
+
+} // namespace rattan
--- /dev/null
+++ b/src/placer/order_codec.hpp
@@ -0,0 +1,40 @@
+/** @file Orders and answers as JSON, and the digest of a listing. */
+#pragma once
+
+#include "rattan/json_func.hpp"
+#include "rattan/order_type.hpp"
+
+#include <string>
+#include <vector>
+
+namespace rattan {
+
+NLOHMANN_JSON_SERIALIZE_ENUM(worker_task_state,
+                             {{worker_task_state::prepared, "prepared"},
+                              {worker_task_state::running, "running"},
+                              {worker_task_state::stopping, "stopping"}})
+NLOHMANN_JSON_SERIALIZE_ENUM(task_outcome, {{task_outcome::done, "done"},
+                                            {task_outcome::failed, "failed"},
+                                            {task_outcome::stopped, "stopped"},
+                                            {task_outcome::lapsed, "lapsed"},
+                                            {task_outcome::refused, "refused"}})
+NLOHMANN_JSON_SERIALIZE_ENUM(order_verdict,
+                             {{order_verdict::obeyed, "obeyed"},
+                              {order_verdict::fenced, "fenced"},
+                              {order_verdict::overtaken, "overtaken"},
+                              {order_verdict::replaced, "replaced"}})
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(task_order, task, team, shape, run_ms,
+                                   payload)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(worker_order, owner, instance, sequence,
+                                   lease_until_ms, prepare, start, checkpoint,
+                                   stop, seen_event, known_listing)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(listed_task, task, team, shape, state)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(task_event, number, task, outcome)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(worker_answer, verdict, fence, instance,
+                                   clock_ms, same_listing, listing, tasks,
+                                   events)
+
+/** Digest of a listing; equal listings, in any order, have equal ones. */
+std::string listing_digest(std::vector<listed_task> tasks);
+
+} // namespace rattan
--- /dev/null
+++ b/src/placer/placer_main.cpp
@@ -0,0 +1,40 @@
+/** @file The placer's program. */
+#include "placer/placer_service.hpp"
+
+#include "rattan/error_type.hpp"
+
+namespace {
+
+/** Reads a placer's settings. */
+rattan::placer_settings read_settings(rattan::settings_reader& reader) {
+    using rattan::millis;
+    rattan::placer_settings settings;
+    settings.process = rattan::read_process_settings(reader);
+    settings.lease =
+        reader.time("lease_ms", millis(300), millis(600'000), millis(15'000));
+    settings.owner_timeout = reader.time("owner_timeout_ms", millis(100),
+                                         millis(60'000), millis(3'000));
+    settings.packing = reader.text("packing", "best_fit");
+    if (!rattan::packing_policies().contains(settings.packing))
+        throw rattan::config_error("settings", 0, "packing",
+                                   "must be best_fit or first_fit");
+    if (settings.process.relays.empty())
+        throw rattan::config_error("settings", 0, "relays",
+                                   "needs at least 1 address");
+    reader.finish();
+    return settings;
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    return rattan::run_program(
+        argc, argv,
+        {.name = "rattan_placer",
+         .run = [](rattan::event_loop& loop, rattan::settings_reader& reader) {
+             rattan::placer_service service(loop, read_settings(reader));
+             loop.on_signals([&] { service.leave(); }, [] {});
+             service.start();
+             loop.run();
+         }});
+}
--- /dev/null
+++ b/src/placer/placer_service.cpp
@@ -0,0 +1,211 @@
+#include "placer/placer_service.hpp"
+
+#include "base/log_func.hpp"
+#include "net/problem_func.hpp"
+#include "net/wire_func.hpp"
+
+namespace rattan {
+
+namespace {
+
+constexpr millis TICK_PERIOD{50};
+constexpr millis PING_PERIOD{500};
+constexpr millis PING_TIMEOUT{1'000};
+constexpr millis APPEND_EXPIRY{1'500};
+/** Orders are short and few at a time to one worker. */
+constexpr http_client_limits WORKER_LIMITS{.connections_a_target = 2};
+constexpr http_limits ADMIN_LIMITS{.connections = 100};
+
+/** The options of the decisions, from the settings. */
+placer_options decision_options(const placer_settings& settings) {
+    return {.host = settings.process.host,
+            .data_centre = settings.process.data_centre,
+            .incarnation = wall_millis(),
+            .address = settings.process.rpc,
+            .lease = settings.lease,
+            .owner_timeout = settings.owner_timeout};
+}
+
+} // namespace
+
+placer_service::placer_service(event_loop& loop, placer_settings settings)
+    : loop_(loop), settings_(std::move(settings)), client_(loop, WORKER_LIMITS),
+      workers_(client_), rpc_(loop, settings_.process.rpc),
+      http_(loop, settings_.process.http, ADMIN_LIMITS,
+            [this](const http_request& request,
+                   const http_server::responder& answer) {
+                on_http(request, answer);
+            }),
+      placer_(decision_options(settings_),
+              packing_policies().at(settings_.packing)),
+      feed_(
+          loop, settings_.process.relays,
+          {.on_restore =
+               [this] { placer_.on_restore(feed_.state(), event_loop::now()); },
+           .on_entry =
+               [this](const log_entry& entry, const entry_place&,
+                      fold_verdict verdict) {
+                   placer_.on_entry(feed_.state(), entry, verdict,
+                                    event_loop::now());
+               },
+           .on_hosts =
+               [this](const host_list& hosts) { placer_.on_hosts(hosts); },
+           .on_page = [this] { wake(); }}) {}
+
+void placer_service::start() {
+    rpc_.on(
+        wire::method::JOB_STATUS,
+        [this](const std::string& body, const rpc_server::responder& answer) {
+            const auto request = wire_decode<wire::job_request>(body);
+            wire::text_reply reply;
+            reply.text = placer_.dump_job({request.job}).dump();
+            answer(wire::status::OK, wire_encode(reply));
+        });
+    rpc_.on(wire::method::PING, [this](const std::string& body,
+                                       const rpc_server::responder& answer) {
+        const auto request = wire_decode<wire::ping_request>(body);
+        placer_.on_peer_heard({request.host}, request.quiet, event_loop::now());
+        wire::ping_reply reply;
+        reply.epoch = leaving_ ? 0 : placer_.owner().value;
+        answer(wire::status::OK, wire_encode(reply));
+    });
+    feed_.start();
+    loop_.every(TICK_PERIOD, [this] { tick(); });
+    loop_.every(PING_PERIOD, [this] { ping_owner(); });
+    log_event(log_level::info, "started",
+              {{"host", settings_.process.host.value},
+               {"data_centre", settings_.process.data_centre.value}});
+}
+
+void placer_service::leave() {
+    if (leaving_)
+        return;
+    leaving_ = true;
+    log_event(log_level::info, "leaving");
+    // Orders under way may finish; new ones are the successor's.
+    loop_.after(PING_TIMEOUT, [this] { loop_.stop(); });
+}
+
+void placer_service::wake() {
+    if (wake_scheduled_)
+        return;
+    wake_scheduled_ = true;
+    loop_.defer([this] {
+        wake_scheduled_ = false;
+        tick();
+    });
+}
+
+void placer_service::tick() {
+    if (!feed_.started() || leaving_)
+        return;
+    const mono_time now = event_loop::now();
+    const std::int64_t begun = event_loop::now_micros();
+    const placer_output output = placer_.tick(
+        feed_.state(),
+        {.now = now,
+         .log_reachable =
+             feed_.fresh().log_reachable && feed_.fresh().is_fresh(now),
+         .may_decide = feed_.fresh().may_serve(
+             now, feed_.state().config.in_force.cell.isolation_limit)});
+    metrics_.histogram("tick").record(event_loop::now_micros() - begun);
+    for (const outgoing_order& outgoing : output.orders)
+        send(outgoing);
+    append(output.records);
+    const bool is_owner = placer_.owner() != epoch{};
+    if (is_owner == was_owner_)
+        return;
+    was_owner_ = is_owner;
+    log_event(log_level::info, is_owner ? "ownership_begun" : "ownership_ended",
+              {{"claim", std::to_string(placer_.owner().value)}});
+}
+
+void placer_service::send(const outgoing_order& outgoing) {
+    const worker_id worker = outgoing.worker;
+    const epoch owner = outgoing.order.owner;
+    const std::int64_t sequence = outgoing.order.sequence;
+    workers_.order(outgoing.address, outgoing.order,
+                   [this, worker, owner,
+                    sequence](const std::optional<worker_answer>& answer) {
+                       if (answer)
+                           placer_.on_answer(worker, owner, sequence, *answer,
+                                             event_loop::now());
+                       else
+                           placer_.on_no_answer(worker, owner, sequence);
+                       wake();
+                   });
+    metrics_.counter("worker_bytes") = workers_.bytes();
+}
+
+void placer_service::append(const std::vector<log_entry>& records) {
+    for (size_t at = 0; at < records.size(); at += MAX_GROUP_ENTRIES) {
+        const auto end = std::min(records.size(),
+                                  at + static_cast<size_t>(MAX_GROUP_ENTRIES));
+        metrics_.counter("records_offered") += end - at;
+        // What is lost here is offered again until the log shows it.
+        feed_.append({records.begin() + static_cast<std::ptrdiff_t>(at),
+                      records.begin() + static_cast<std::ptrdiff_t>(end)},
+                     APPEND_EXPIRY, [](const rpc_answer&) {});
+    }
+}
+
+void placer_service::ping_owner() {
+    if (!feed_.started() || placer_.owner() != epoch{})
+        return;
+    const auto found = feed_.state().owners.find(settings_.process.data_centre);
+    if (found == feed_.state().owners.end() ||
+        found->second.host == settings_.process.host)
+        return;
+    auto& client = owners_[found->second.address];
+    if (!client)
+        client = std::make_unique<rpc_client>(loop_, found->second.address);
+    wire::ping_request request;
+    request.host = settings_.process.host.value;
+    request.quiet = placer_.is_quiet(event_loop::now());
+    client->call(wire::method::PING, wire_encode(request), PING_TIMEOUT,
+                 [this](const rpc_answer& answer) {
+                     if (!answer.ok())
+                         return;
+                     const auto reply =
+                         wire_decode<wire::ping_reply>(answer.body);
+                     placer_.on_owner_alive({reply.epoch}, event_loop::now());
+                 });
+}
+
+void placer_service::on_http(const http_request& request,
+                             const http_server::responder& answer) {
+    for (const auto& [name, value] : placer_.counters())
+        metrics_.counter(name) = value;
+    const bool handled = answer_admin(
+        request, metrics_,
+        {.is_ready = [this] { return feed_.started() && !leaving_; },
+         .dump =
+             [this] {
+                 auto dump = placer_.dump(event_loop::now());
+                 dump["state"] = state_json();
+                 return dump;
+             },
+         .state = [this] { return state_json(); }},
+        answer);
+    if (!handled)
+        answer(make_problem({.status = 404,
+                             .type = "unknown-path",
+                             .detail = request.method + " " + request.path}));
+}
+
+nlohmann::json placer_service::state_json() const {
+    const mono_time now = event_loop::now();
+    const config_state& config = feed_.state().config;
+    return {{"program", "placer"},
+            {"host", settings_.process.host.value},
+            {"data_centre", settings_.process.data_centre.value},
+            {"version", config.version.value},
+            {"accepted_ms", config.accepted_ms},
+            {"next_offset", feed_.state().next_offset},
+            {"current_age_ms", (now - feed_.fresh().current).count()},
+            {"log_reachable", feed_.fresh().log_reachable},
+            {"owner", placer_.owner().value},
+            {"ready", feed_.started() && !leaving_}};
+}
+
+} // namespace rattan
--- /dev/null
+++ b/src/placer/placer_worker.cpp
@@ -0,0 +1,374 @@
+/** @file Workers: leases, orders and answers. */
+#include "placer/order_codec.hpp"
+#include "placer/placer_base.hpp"
+
+#include <algorithm>
+#include <cassert>
+
+namespace rattan {
+
+namespace {
+
+constexpr std::int64_t RENEWALS_A_LEASE = 3;
+constexpr millis FENCE_RETRY{500};
+/** Tasks that fail in a row before a worker is left alone for a while. */
+constexpr int FAILURES_TO_AVOID = 3;
+constexpr millis FIRST_AVOIDANCE{2'000};
+constexpr millis LONGEST_AVOIDANCE{300'000};
+
+/** Limits that a task counts on. */
+std::vector<std::pair<quota_key, std::int64_t>>
+task_quota(const team_id& team, const resources& shape) {
+    return {{{team, quota_kind::milli_cores}, shape.milli_cores},
+            {{team, quota_kind::accelerators}, shape.accelerators}};
+}
+
+/** How long a worker that fails everything is left alone. */
+millis avoidance(int failures) {
+    const int doublings = std::min(failures - FAILURES_TO_AVOID, 10);
+    return std::min(FIRST_AVOIDANCE * (1 << doublings), LONGEST_AVOIDANCE);
+}
+
+} // namespace
+
+void placer_base::put_task(worker_view& worker, const task_ref& task,
+                           const placed_task& placed) {
+    assert(!worker.tasks.contains(task));
+    worker.tasks[task] = placed;
+    worker.committed += placed.shape;
+    usage_[placed.team] += placed.shape;
+    for (const auto& [key, amount] : task_quota(placed.team, placed.shape))
+        quota_.spend(key, amount);
+}
+
+void placer_base::remove_task(worker_view& worker, const task_ref& task) {
+    const auto found = worker.tasks.find(task);
+    if (found == worker.tasks.end())
+        return;
+    const placed_task placed = found->second;
+    worker.tasks.erase(found);
+    worker.committed -= placed.shape;
+    usage_[placed.team] -= placed.shape;
+    for (const auto& [key, amount] : task_quota(placed.team, placed.shape))
+        quota_.release(key, amount);
+}
+
+void placer_base::follow_hosts(const cell_state& state, mono_time now) {
+    if (!hosts_known_)
+        return;
+    std::map<worker_id, const listed_worker*> listed;
+    for (const listed_worker& worker : hosts_.workers)
+        if (worker.info.data_centre == options_.data_centre)
+            listed[worker.info.id] = &worker;
+    for (const auto& [id, worker] : listed) {
+        const auto enlisted = state.workers.find(id);
+        if (enlisted == state.workers.end()) {
+            outbox_.offer("enlist/" + id.value,
+                          worker_enlist{owner_, worker->info}, now);
+            continue;
+        }
+        worker_view& view = workers_[id];
+        if (view.info.id.empty()) {
+            view.info = enlisted->second;
+            view.cleared = true; // enlisted by this owner: nothing older
+        }
+    }
+    for (auto& [id, view] : workers_) {
+        const auto found = listed.find(id);
+        // The same name at another address is another machine.
+        view.listed = found != listed.end() && found->second->info == view.info;
+        view.leaving =
+            view.listed && found->second->state == host_state::leaving;
+    }
+}
+
+bool placer_base::peers_quiet_since(const cell_state& state, mono_time since,
+                                    mono_time now) const {
+    if (now - since > CARE_LIMIT + lease_bound())
+        return true;
+    const auto centre =
+        state.config.in_force.data_centres.find(options_.data_centre);
+    if (centre == state.config.in_force.data_centres.end())
+        return true;
+    for (const host_id& host : centre->second.entry_hosts) {
+        if (host == options_.host)
+            continue;
+        const auto heard = quiet_peers_.find(host);
+        if (heard == quiet_peers_.end() || heard->second.at <= since)
+            return false;
+    }
+    return true;
+}
+
+void placer_base::drop_lapsed(const cell_state& state, mono_time now) {
+    std::vector<worker_id> retired;
+    for (auto& [id, worker] : workers_) {
+        if (!worker.fenced) {
+            // Never answered this owner: only the platform's word ends it.
+            if (!worker.listed && now - owned_since_ > lease_bound() &&
+                peers_quiet_since(state, owned_since_ + lease_bound(), now))
+                retired.push_back(id);
+            continue;
+        }
+        if (now <= worker.lapsed ||
+            !peers_quiet_since(state, worker.lapsed, now))
+            continue;
+        const auto tasks = worker.tasks;
+        for (const auto& [task, placed] : tasks) {
+            ++counters_["tasks_lapsed"];
+            remove_task(worker, task);
+            task_gone(task, task_outcome::lapsed, now);
+        }
+        if (!worker.listed)
+            retired.push_back(id);
+    }
+    for (const worker_id& id : retired) {
+        worker_view& worker = workers_[id];
+        worker.cleared = true;
+        outbox_.offer("retire/" + id.value, worker_retire{owner_, id}, now);
+        if (!state.workers.contains(id)) {
+            outbox_.settle("retire/" + id.value);
+            workers_.erase(id);
+        }
+    }
+}
+
+void placer_base::on_answer(const worker_id& id, epoch owner,
+                            std::int64_t sequence, const worker_answer& answer,
+                            mono_time now) {
+    if (owner_ == epoch{}) {
+        const auto cared = cared_.find(id);
+        if (cared == cared_.end() || owner != owner_seen_)
+            return;
+        cared->second.in_flight = false;
+        const bool obeyed = answer.verdict == order_verdict::obeyed;
+        cared->second.clock_ms = obeyed ? answer.clock_ms : 0;
+        cared->second.instance = obeyed ? answer.instance : 0;
+        return;
+    }
+    const auto found = workers_.find(id);
+    if (found == workers_.end() || owner != owner_ ||
+        sequence != found->second.sequence || !found->second.in_flight) {
+        ++counters_["answers_late"];
+        return;
+    }
+    worker_view& worker = found->second;
+    worker.in_flight = false;
+    if (answer.verdict == order_verdict::replaced)
+        return forget_process(worker, now);
+    if (answer.verdict != order_verdict::obeyed) {
+        ++counters_[answer.verdict == order_verdict::fenced
+                        ? "orders_fenced"
+                        : "orders_overtaken"];
+        for (auto& [task, placed] : worker.tasks)
+            if (placed.phase != task_phase::running &&
+                placed.phase != task_phase::prepared)
+                placed.sent = false;
+        return;
+    }
+    worker.instance = answer.instance;
+    worker.clock_ms = answer.clock_ms;
+    worker.answered = now;
+    worker.lapsed = now + lease_bound();
+    if (!answer.same_listing)
+        worker.listing = answer.tasks;
+    const bool first = !worker.fenced;
+    worker.fenced = true;
+    if (first)
+        adopt_listing(worker);
+    worker.cleared = true;
+    take_events(worker, answer.events, now);
+    if (!first)
+        reconcile(worker, now);
+}
+
+void placer_base::forget_process(worker_view& worker, mono_time now) {
+    ++counters_["workers_replaced"];
+    worker.fenced = false;
+    worker.sequence = 0;
+    worker.handled_event = 0;
+    worker.unseen_events.clear();
+    worker.ordered = mono_time{};
+    worker.listing.clear();
+    const auto tasks = worker.tasks;
+    for (const auto& [task, placed] : tasks) {
+        remove_task(worker, task);
+        task_gone(task, task_outcome::lapsed, now);
+    }
+}
+
+void placer_base::on_no_answer(const worker_id& id, epoch owner,
+                               std::int64_t sequence) {
+    if (owner_ == epoch{}) {
+        const auto cared = cared_.find(id);
+        if (cared != cared_.end())
+            cared->second.in_flight = false;
+        return;
+    }
+    const auto found = workers_.find(id);
+    if (found == workers_.end() || owner != owner_ ||
+        sequence != found->second.sequence)
+        return;
+    ++counters_["orders_unanswered"];
+    found->second.in_flight = false;
+    for (auto& [task, placed] : found->second.tasks)
+        if (placed.phase != task_phase::running &&
+            placed.phase != task_phase::prepared)
+            placed.sent = false;
+}
+
+void placer_base::take_events(worker_view& worker,
+                              const std::vector<task_event>& events,
+                              mono_time now) {
+    for (const task_event& event : events) {
+        if (event.number <= worker.handled_event)
+            continue;
+        worker.handled_event = event.number;
+        const auto job = jobs_.find(event.task.job);
+        const bool keep =
+            job != jobs_.end() && (event.outcome == task_outcome::done ||
+                                   !job->second.spec.restartable);
+        if (keep)
+            worker.unseen_events[event.number] = event.task.job;
+        if (event.outcome == task_outcome::failed) {
+            if (++worker.failures >= FAILURES_TO_AVOID) {
+                worker.avoid_until = now + avoidance(worker.failures);
+                ++counters_["workers_avoided"];
+            }
+        } else if (event.outcome == task_outcome::done) {
+            worker.failures = 0;
+        }
+        const bool held = worker.tasks.contains(event.task);
+        remove_task(worker, event.task);
+        if (held || job != jobs_.end())
+            task_gone(event.task, event.outcome, now);
+    }
+}
+
+void placer_base::reconcile(worker_view& worker, mono_time now) {
+    std::map<task_ref, worker_task_state> listing;
+    for (const listed_task& listed : worker.listing)
+        listing[listed.task] = listed.state;
+    const auto tasks = worker.tasks;
+    for (const auto& [task, placed] : tasks) {
+        if (!placed.sent)
+            continue;
+        const auto found = listing.find(task);
+        if (found == listing.end()) {
+            if (placed.phase == task_phase::prepared)
+                continue; // an event tells, or the start is refused
+            remove_task(worker, task);
+            task_gone(task,
+                      placed.phase == task_phase::stopping
+                          ? task_outcome::stopped
+                          : task_outcome::lapsed,
+                      now);
+            continue;
+        }
+        placed_task& view = worker.tasks[task];
+        if (view.phase == task_phase::preparing &&
+            found->second == worker_task_state::prepared)
+            view.phase = task_phase::prepared;
+        if (view.phase == task_phase::starting &&
+            found->second == worker_task_state::running)
+            view.phase = task_phase::running;
+        unsettled_.insert(task.job);
+    }
+    for (const auto& [task, state] : listing) {
+        if (worker.tasks.contains(task))
+            continue;
+        // Late effect of an order that was given up: count it, stop it.
+        for (const listed_task& listed : worker.listing)
+            if (listed.task == task)
+                put_task(worker, task,
+                         {.phase = task_phase::stopping,
+                          .team = listed.team,
+                          .shape = listed.shape});
+        ++counters_["tasks_unexpected"];
+    }
+}
+
+void placer_base::build_orders(mono_time now) {
+    for (auto& [id, worker] : workers_) {
+        if (worker.in_flight)
+            continue;
+        const millis since =
+            std::chrono::duration_cast<millis>(now - worker.ordered);
+        const bool never = worker.ordered == mono_time{};
+        if (!worker.fenced) {
+            if (never || since >= FENCE_RETRY)
+                send_order(worker, now);
+            continue;
+        }
+        const bool has_news = std::any_of(
+            worker.tasks.begin(), worker.tasks.end(),
+            [this](const auto& entry) { return is_sendable(entry.second); });
+        const bool unanswered = worker.answered < worker.ordered;
+        if ((has_news && (!unanswered || since >= FENCE_RETRY)) ||
+            since >= options_.lease / RENEWALS_A_LEASE)
+            send_order(worker, now);
+    }
+}
+
+bool placer_base::is_sendable(const placed_task& placed) const {
+    if (placed.sent)
+        return false;
+    // On stale knowledge nothing starts, but stops still go out.
+    return may_start_ || placed.phase == task_phase::stopping;
+}
+
+void placer_base::fill_order(worker_view& worker, worker_order& order) {
+    for (auto& [task, placed] : worker.tasks) {
+        if (!is_sendable(placed))
+            continue;
+        placed.sent = true;
+        const auto job = jobs_.find(task.job);
+        task_order start{
+            .task = task, .team = placed.team, .shape = placed.shape};
+        if (job != jobs_.end()) {
+            start.run_ms = job->second.spec.run_ms;
+            start.payload = job->second.spec.payload;
+        }
+        switch (placed.phase) {
+        case task_phase::preparing:
+            order.prepare.push_back(start);
+            break;
+        case task_phase::starting:
+            order.start.push_back(start);
+            break;
+        case task_phase::stopping:
+            (placed.checkpoint ? order.checkpoint : order.stop).push_back(task);
+            break;
+        case task_phase::prepared:
+        case task_phase::running:
+            break;
+        }
+    }
+}
+
+void placer_base::send_order(worker_view& worker, mono_time now) {
+    worker_order order{.owner = owner_};
+    if (worker.fenced) {
+        order.instance = worker.instance;
+        order.sequence = ++worker.sequence;
+        order.lease_until_ms = worker.clock_ms + options_.lease.count();
+        order.known_listing = listing_digest(worker.listing);
+        order.seen_event = worker.unseen_events.empty()
+                               ? worker.handled_event
+                               : worker.unseen_events.begin()->first - 1;
+        fill_order(worker, order);
+        counters_["tasks_started"] += order.start.size();
+    }
+    worker.in_flight = true;
+    worker.ordered = now;
+    ++counters_["orders_sent"];
+    orders_.push_back({worker.info.id, worker.info.address, order});
+}
+
+void placer_base::forget_events(const job_id& job) {
+    for (auto& [id, worker] : workers_)
+        std::erase_if(worker.unseen_events,
+                      [&](const auto& entry) { return entry.second == job; });
+}
+
+} // namespace rattan
--- /dev/null
+++ b/src/quota/quota_holder.cpp
@@ -0,0 +1,190 @@
+#include "quota/quota_holder.hpp"
+
+#include "base/record_outbox.hpp"
+#include "fold/quota_cmd.hpp"
+
+#include <algorithm>
+#include <cassert>
+#include <set>
+
+namespace rattan {
+
+namespace {
+
+/** Part of a limit that an idle holder keeps, as a divisor for each. */
+constexpr std::int64_t FLOOR_DIVISOR = 2;
+/** Asked for above the need, in percent of what runs: fewer appends. */
+constexpr std::int64_t HEADROOM_PERCENT = 10;
+
+/** The sum of what other holders wait for. */
+std::int64_t wanted_by_others(const quota_slices& slices,
+                              const holder_id& holder) {
+    std::int64_t wanted = 0;
+    for (const auto& [id, slice] : slices)
+        if (id != holder && slice.dropped_ms == 0)
+            wanted += slice.want;
+    return wanted;
+}
+
+/** A value of a map, or zero. */
+std::int64_t value_or_zero(const std::map<quota_key, std::int64_t>& values,
+                           const quota_key& key) {
+    const auto found = values.find(key);
+    return found == values.end() ? 0 : found->second;
+}
+
+} // namespace
+
+void quota_holder::begin(epoch owner) {
+    owner_ = owner;
+    spent_.clear();
+    demand_.clear();
+    pending_.clear();
+}
+
+quota_slice quota_holder::slice(const cell_state& state,
+                                const quota_key& key) const {
+    const auto slices = state.quotas.find(key);
+    if (slices == state.quotas.end())
+        return {};
+    const auto found = slices->second.find(holder_);
+    return found == slices->second.end() ? quota_slice{} : found->second;
+}
+
+bool quota_holder::can_spend(const cell_state& state, const quota_key& key,
+                             std::int64_t amount) const {
+    if (amount == 0)
+        return true;
+    const quota_slice mine = slice(state, key);
+    std::int64_t usable = mine.amount;
+    const auto pending = pending_.find(key);
+    if (pending != pending_.end() && pending->second.serial == mine.serial)
+        usable -= pending->second.ceded;
+    // After a lowered limit nothing starts until the slices fit again.
+    const auto slices = state.quotas.find(key);
+    if (slices == state.quotas.end() ||
+        quota_granted(slices->second) > quota_limit(state, key))
+        return false;
+    return spent(key) + amount <= usable;
+}
+
+void quota_holder::spend(const quota_key& key, std::int64_t amount) {
+    if (amount != 0)
+        spent_[key] += amount;
+}
+
+void quota_holder::release(const quota_key& key, std::int64_t amount) {
+    if (amount == 0)
+        return;
+    assert(spent_[key] >= amount);
+    spent_[key] -= amount;
+}
+
+void quota_holder::demand(const quota_key& key, std::int64_t amount) {
+    if (amount != 0)
+        demand_[key] += amount;
+}
+
+std::int64_t quota_holder::spent(const quota_key& key) const {
+    return value_or_zero(spent_, key);
+}
+
+std::int64_t quota_holder::overspent(const cell_state& state,
+                                     const quota_key& key) const {
+    const auto slices = state.quotas.find(key);
+    if (slices == state.quotas.end())
+        return 0;
+    const std::int64_t limit = quota_limit(state, key);
+    const std::int64_t granted = quota_granted(slices->second);
+    if (granted <= limit)
+        return 0;
+    const std::int64_t fair = slice(state, key).amount * limit / granted;
+    return std::max<std::int64_t>(0, spent(key) - fair);
+}
+
+std::int64_t quota_holder::surplus(const cell_state& state,
+                                   const quota_key& key) const {
+    const quota_slice mine = slice(state, key);
+    const auto slices = state.quotas.find(key);
+    if (slices == state.quotas.end() || mine.amount == 0)
+        return 0;
+    const std::int64_t limit = quota_limit(state, key);
+    const std::int64_t unspent = mine.amount - spent(key);
+    const std::int64_t excess = quota_granted(slices->second) - limit;
+    if (excess > 0)
+        return std::clamp<std::int64_t>(unspent, 0, excess);
+    const std::int64_t wanted = wanted_by_others(slices->second, holder_);
+    if (wanted == 0)
+        return 0;
+    const auto holders = static_cast<std::int64_t>(slices->second.size());
+    // Own demand is served first; it may have been queued behind theirs.
+    const std::int64_t needed = spent(key) + value_or_zero(demand_, key);
+    const std::int64_t kept =
+        std::max(needed, limit / (FLOOR_DIVISOR * holders));
+    return std::clamp<std::int64_t>(mine.amount - kept, 0, wanted);
+}
+
+std::optional<quota_holder::pending_record>
+quota_holder::decide(const cell_state& state, const quota_key& key) const {
+    const quota_slice mine = slice(state, key);
+    const std::int64_t cede = surplus(state, key);
+    if (cede > 0)
+        return pending_record{.serial = mine.serial,
+                              .ceded = cede,
+                              .entry = quota_cede{.holder = holder_,
+                                                  .owner = owner_,
+                                                  .team = key.team,
+                                                  .kind = key.kind,
+                                                  .amount = cede,
+                                                  .serial = mine.serial}};
+    const std::int64_t needed = spent(key) + value_or_zero(demand_, key);
+    const std::int64_t target = std::min(
+        needed + needed * HEADROOM_PERCENT / 100, quota_limit(state, key));
+    const std::int64_t want =
+        needed > mine.amount ? std::max<std::int64_t>(0, target - mine.amount)
+                             : 0;
+    const bool unmet = want > mine.want;
+    const bool unneeded = want == 0 && mine.want > 0;
+    if (!unmet && !unneeded)
+        return std::nullopt;
+    return pending_record{.serial = mine.serial,
+                          .entry = quota_want{.holder = holder_,
+                                              .owner = owner_,
+                                              .team = key.team,
+                                              .kind = key.kind,
+                                              .amount = want,
+                                              .serial = mine.serial}};
+}
+
+std::vector<log_entry> quota_holder::tick(const cell_state& state,
+                                          mono_time now) {
+    std::vector<log_entry> records;
+    std::set<quota_key> keys;
+    for (const auto& [key, amount] : demand_)
+        keys.insert(key);
+    for (const auto& [key, slices] : state.quotas)
+        if (slices.contains(holder_))
+            keys.insert(key);
+    for (const quota_key& key : keys) {
+        auto pending = pending_.find(key);
+        if (pending != pending_.end() &&
+            pending->second.serial != slice(state, key).serial) {
+            pending_.erase(pending);
+            pending = pending_.end();
+        }
+        if (pending == pending_.end()) {
+            auto record = decide(state, key);
+            if (!record)
+                continue;
+            pending = pending_.emplace(key, std::move(*record)).first;
+        } else if (now - pending->second.offered < APPEND_RETRY) {
+            continue;
+        }
+        pending->second.offered = now;
+        records.push_back(pending->second.entry);
+    }
+    demand_.clear();
+    return records;
+}
+
+} // namespace rattan
--- /dev/null
+++ b/src/relay/relay_main.cpp
@@ -0,0 +1,34 @@
+/** @file The relay's program. */
+#include "relay/relay_service.hpp"
+
+namespace {
+
+/** Reads a relay's settings. */
+rattan::relay_settings read_settings(rattan::settings_reader& reader) {
+    using rattan::millis;
+    rattan::relay_settings settings;
+    settings.process = rattan::read_process_settings(reader);
+    settings.platform = reader.text("platform");
+    settings.peers = reader.addresses("peers", 0);
+    settings.operators = reader.texts_by_name("operators");
+    settings.snapshot_records =
+        reader.number("snapshot_records", 1, 1'000'000, 5'000);
+    settings.snapshot_period = reader.time("snapshot_period_ms", millis(100),
+                                           millis(3'600'000), millis(60'000));
+    reader.finish();
+    return settings;
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    return rattan::run_program(
+        argc, argv,
+        {.name = "rattan_relay",
+         .run = [](rattan::event_loop& loop, rattan::settings_reader& reader) {
+             rattan::relay_service service(loop, read_settings(reader));
+             loop.on_signals([&] { service.leave(); }, [] {});
+             service.start();
+             loop.run();
+         }});
+}
--- /dev/null
+++ b/standins/demo_main.cpp
@@ -0,0 +1,1 @@
+int main() {}
--- /dev/null
+++ b/standins/harness_cluster.cpp
@@ -0,0 +1,388 @@
+#include "harness_cluster.hpp"
+
+#include "fold/config_func.hpp"
+#include "fold/config_load.hpp"
+#include "net/process_frame.hpp"
+#include "rattan/error_type.hpp"
+
+#include <algorithm>
+#include <atomic>
+#include <csignal>
+#include <fcntl.h>
+#include <fstream>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+
+extern char** environ;
+
+namespace rattan::standin {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr int PORTS_A_HOST = 6;
+constexpr int PLATFORM_PORT = 150;
+constexpr int TARGETS_PORT = 151;
+constexpr int RUNNER_PORTS = 200;
+constexpr int WORKER_PORTS = 300;
+constexpr int WORKERS_A_RACK = 8;
+/** The operator of examples and tests; its secret is `demo`. */
+const std::string OPERATOR_KEY = "ops.demo";
+const std::string OPERATOR_HASH =
+    "00:"
+    "4e634fa8d1f3a444ac2a810c737fd690acc256e1881b2bb01bd231239d829ff5";
+
+/** File name of a program. */
+std::string program_name(program which) {
+    switch (which) {
+    case program::relay:
+        return "rattan_relay";
+    case program::gate:
+        return "rattan_gate";
+    case program::placer:
+        return "rattan_placer";
+    }
+    return "";
+}
+
+} // namespace
+
+bool wait_until(const std::function<bool()>& condition, int limit_ms) {
+    const auto end =
+        std::chrono::steady_clock::now() + std::chrono::milliseconds(limit_ms);
+    while (std::chrono::steady_clock::now() < end) {
+        if (condition())
+            return true;
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    return condition();
+}
+
+std::string new_request_id() {
+    static std::atomic<int> count{0};
+    return std::to_string(wall_millis()) + "-" + std::to_string(getpid()) +
+           "-" + std::to_string(++count);
+}
+
+std::map<std::string, std::string> caller_headers(const std::string& key,
+                                                  const std::string& request) {
+    std::map<std::string, std::string> headers;
+    if (!key.empty())
+        headers["Authorization"] = "Bearer " + key;
+    if (!request.empty())
+        headers["X-Request-Id"] = request;
+    return headers;
+}
+
+cluster::cluster(cluster_options options) : options_(std::move(options)) {
+    std::filesystem::create_directories(options_.folder);
+    document_ = load_declarations(options_.declarations);
+    if (options_.data_centres.empty())
+        for (const auto& [name, centre] : document_["data_centres"].items())
+            options_.data_centres.push_back(name);
+}
+
+cluster::~cluster() {
+    std::vector<pid_t> all;
+    for (const auto& [which, pid] : programs_)
+        all.push_back(pid);
+    all.push_back(platform_);
+    all.push_back(targets_);
+    for (const pid_t pid : all)
+        if (pid > 0)
+            kill(pid, SIGKILL);
+    for (const pid_t pid : all)
+        if (pid > 0)
+            waitpid(pid, nullptr, 0);
+}
+
+int cluster::hosts() const {
+    return static_cast<int>(options_.data_centres.size()) *
+           options_.hosts_a_centre;
+}
+
+std::string cluster::host_name(int host) const {
+    const auto& centre = options_.data_centres.at(
+        static_cast<size_t>(host / options_.hosts_a_centre));
+    return document_["data_centres"][centre]["entry_hosts"]
+                    [static_cast<size_t>(host % options_.hosts_a_centre)]
+                        .get<std::string>();
+}
+
+int cluster::port(int host, int which) const {
+    return options_.base_port + host * PORTS_A_HOST + which;
+}
+
+std::string cluster::address(int host, int which) const {
+    return "127.0.0.1:" + std::to_string(port(host, which));
+}
+
+std::string cluster::relay_url(int host) const {
+    return "http://" + address(host, 0);
+}
+
+std::string cluster::gate_url(int host) const {
+    return "http://" + address(host, 2);
+}
+
+std::string cluster::placer_url(int host) const {
+    return "http://" + address(host, 4);
+}
+
+std::string cluster::platform_url() const {
+    return "http://127.0.0.1:" +
+           std::to_string(options_.base_port + PLATFORM_PORT);
+}
+
+std::string cluster::targets_url() const {
+    return "http://127.0.0.1:" +
+           std::to_string(options_.base_port + TARGETS_PORT);
+}
+
+pid_t cluster::pid(int host, program which) const {
+    const auto found = programs_.find({host, which});
+    return found == programs_.end() ? 0 : found->second;
+}
+
+pid_t cluster::spawn(const std::string& name,
+                     const std::vector<std::string>& args) {
+    const std::string path = std::string(RATTAN_BIN_DIR) + "/" + name;
+    std::vector<char*> argv{const_cast<char*>(path.c_str())};
+    for (const std::string& arg : args)
+        argv.push_back(const_cast<char*>(arg.c_str()));
+    argv.push_back(nullptr);
+    const std::string log = (options_.folder / (name + ".log")).string();
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log.c_str(),
+                                     O_WRONLY | O_CREAT | O_APPEND, 0644);
+    pid_t pid = 0;
+    const int failure = posix_spawn(&pid, path.c_str(), &actions, nullptr,
+                                    argv.data(), environ);
+    posix_spawn_file_actions_destroy(&actions);
+    if (failure != 0)
+        throw system_error("can't start " + path);
+    return pid;
+}
+
+std::string cluster::write_settings(int host, program which) const {
+    const int first = which == program::relay  ? 0
+                      : which == program::gate ? 2
+                                               : 4;
+    const std::string& centre = options_.data_centres.at(
+        static_cast<size_t>(host / options_.hosts_a_centre));
+    std::string yaml = "host: " + host_name(host) + "\ndata_centre: " + centre +
+                       "\nhttp: " + address(host, first) +
+                       "\nrpc: " + address(host, first + 1) + "\n";
+    const auto list = [&](const std::string& field, bool own_first) {
+        yaml += field + ":\n";
+        if (own_first)
+            yaml += "  - " + address(host, 1) + "\n";
+        for (int other = 0; other < hosts(); ++other)
+            if (other != host)
+                yaml += "  - " + address(other, 1) + "\n";
+    };
+    if (which == program::relay) {
+        yaml += "platform: " + platform_url() + "\n";
+        if (hosts() > 1)
+            list("peers", false);
+        yaml += "operators:\n  ops: \"" + OPERATOR_HASH + "\"\n";
+        yaml +=
+            "snapshot_records: " + std::to_string(options_.snapshot_records) +
+            "\nsnapshot_period_ms: " +
+            std::to_string(options_.snapshot_period_ms) + "\n";
+    } else {
+        list("relays", true);
+    }
+    if (which == program::gate) {
+        yaml += "gates:\n";
+        for (int other = 0; other < hosts(); ++other)
+            yaml += "  " + host_name(other) + ": " + address(other, 3) + "\n";
+        yaml += "longest_deadline_ms: " +
+                std::to_string(options_.longest_deadline_ms) +
+                "\nclock_skew_ms: " + std::to_string(options_.clock_skew_ms) +
+                "\nleave_grace_ms: " + std::to_string(options_.leave_grace_ms) +
+                "\n";
+    }
+    if (which == program::placer)
+        yaml +=
+            "lease_ms: " + std::to_string(options_.lease_ms) +
+            "\nowner_timeout_ms: " + std::to_string(options_.owner_timeout_ms) +
+            "\n";
+    if (adjust_settings)
+        adjust_settings(host, which, yaml);
+    const auto file = options_.folder /
+                      (program_name(which) + "-" + host_name(host) + ".yaml");
+    std::ofstream(file) << yaml;
+    return file.string();
+}
+
+void cluster::start_program(int host, program which) {
+    programs_[{host, which}] = spawn(
+        program_name(which), {"--settings=" + write_settings(host, which)});
+}
+
+void cluster::kill_program(int host, program which, int signal) {
+    const pid_t target = pid(host, which);
+    kill(target, signal);
+    if (signal != SIGKILL)
+        return;
+    waitpid(target, nullptr, 0);
+    programs_.erase({host, which});
+}
+
+int cluster::wait_program(int host, program which) {
+    int status = -1;
+    waitpid(pid(host, which), &status, 0);
+    programs_.erase({host, which});
+    return status;
+}
+
+void cluster::start_platform() {
+    platform_ = spawn("standin_platform",
+                      {"--listen=127.0.0.1:" +
+                       std::to_string(options_.base_port + PLATFORM_PORT)});
+    wait_until([&] {
+        return http_do({.url = platform_url() + "/admin/stats"}).status == 200;
+    });
+}
+
+void cluster::kill_platform() {
+    kill(platform_, SIGKILL);
+    waitpid(platform_, nullptr, 0);
+    platform_ = 0;
+}
+
+void cluster::send_hosts(const std::vector<int>& leaving,
+                         const std::vector<int>& gone) const {
+    const auto is_in = [](const std::vector<int>& list, int number) {
+        return std::find(list.begin(), list.end(), number) != list.end();
+    };
+    const auto centre_of = [&](int number) {
+        return options_.data_centres.at(static_cast<size_t>(number) %
+                                        options_.data_centres.size());
+    };
+    json runners = json::array();
+    for (int i = 0; i < options_.runners; ++i)
+        runners.push_back(
+            {{"info",
+              {{"id", "runner-" + std::to_string(i)},
+               {"data_centre", centre_of(i)},
+               {"address", "127.0.0.1:" + std::to_string(options_.base_port +
+                                                         RUNNER_PORTS + i)},
+               {"slots", 8}}},
+             {"state", "live"}});
+    json workers = json::array();
+    const auto centres = static_cast<int>(options_.data_centres.size());
+    for (int i = 0; i < options_.workers; ++i) {
+        if (is_in(gone, i))
+            continue;
+        const bool has = options_.accelerator_every > 0 &&
+                         i % options_.accelerator_every == 0;
+        workers.push_back(
+            {{"info",
+              {{"id", "worker-" + std::to_string(i)},
+               {"data_centre", centre_of(i)},
+               {"rack", centre_of(i) + "-rack-" +
+                            std::to_string(i / centres / WORKERS_A_RACK)},
+               {"address", "127.0.0.1:" + std::to_string(options_.base_port +
+                                                         WORKER_PORTS + i)},
+               {"owned",
+                {{"milli_cores", options_.cores * 1'000},
+                 {"memory_mib", options_.memory_mib},
+                 {"accelerators", has ? options_.accelerators : 0}}}}},
+             {"state", is_in(leaving, i) ? "leaving" : "live"}});
+    }
+    http_do(
+        {.method = "POST",
+         .url = platform_url() + "/admin/hosts",
+         .body = json({{"runners", runners}, {"workers", workers}}).dump()});
+}
+
+void cluster::start_processes() {
+    start_platform();
+    targets_ = spawn(
+        "standin_targets",
+        {"--admin_port=" + std::to_string(options_.base_port + TARGETS_PORT),
+         "--runner_port=" + std::to_string(options_.base_port + RUNNER_PORTS),
+         "--worker_port=" + std::to_string(options_.base_port + WORKER_PORTS),
+         "--runners=" + std::to_string(options_.runners),
+         "--workers=" + std::to_string(options_.workers),
+         "--cores=" + std::to_string(options_.cores),
+         "--memory_mib=" + std::to_string(options_.memory_mib),
+         "--accelerators=" + std::to_string(options_.accelerators),
+         "--accelerator_every=" + std::to_string(options_.accelerator_every)});
+    send_hosts();
+    for (int host = 0; host < hosts(); ++host)
+        for (const program which :
+             {program::relay, program::gate, program::placer})
+            start_program(host, which);
+}
+
+blocking_answer cluster::publish_change(std::int64_t base, const json& set,
+                                        const json& drop, int host) {
+    return http_do(
+        {.method = "POST",
+         .url = relay_url(host) + "/v1/config",
+         .body = json({{"base", base}, {"set", set}, {"drop", drop}}).dump(),
+         .headers = {{"Authorization", "Bearer " + OPERATOR_KEY}},
+         .timeout_ms = 10'000});
+}
+
+blocking_answer cluster::publish(const json& document, int host) {
+    const auto current =
+        http_do({.url = relay_url(host) + "/v1/config",
+                 .headers = {{"Authorization", "Bearer " + OPERATOR_KEY}}})
+            .json();
+    if (current.is_null())
+        return {};
+    const config_delta delta = diff_config(current["document"], document);
+    auto answer = publish_change(current["version"].get<std::int64_t>(),
+                                 delta.set, delta.drop, host);
+    if (answer.status == 200)
+        document_ = document;
+    return answer;
+}
+
+void cluster::start() {
+    start_processes();
+    const bool published =
+        wait_until([&] { return publish(document_).status == 200; }, 30'000);
+    if (!published)
+        throw unreachable_error("the declarations could not be published");
+    const bool ready = wait_until(
+        [&] {
+            for (int host = 0; host < hosts(); ++host)
+                if (http_do({.url = gate_url(host) + "/readyz"}).status != 200)
+                    return false;
+            return true;
+        },
+        30'000);
+    if (!ready)
+        throw unreachable_error("the gates did not get ready");
+}
+
+json cluster::audit() const {
+    return http_do({.url = targets_url() + "/admin/audit"}).json();
+}
+
+json cluster::platform_stats() const {
+    return http_do({.url = platform_url() + "/admin/stats"}).json();
+}
+
+void cluster::fault_platform(const json& fault) const {
+    http_do({.method = "POST",
+             .url = platform_url() + "/admin/fault",
+             .body = fault.dump()});
+}
+
+void cluster::fault_targets(const json& fault) const {
+    http_do({.method = "POST",
+             .url = targets_url() + "/admin/fault",
+             .body = fault.dump()});
+}
+
+} // namespace rattan::standin
--- /dev/null
+++ b/standins/targets_main.cpp
@@ -0,0 +1,285 @@
+/** @file Stand-ins of runners and workers, many in one process. */
+#include "net/event_loop.hpp"
+#include "net/http_server.hpp"
+#include "placer/order_codec.hpp"
+#include "rattan/error_type.hpp"
+#include "worker_model.hpp"
+
+#include <gflags/gflags.h>
+#include <nlohmann/json.hpp>
+
+#include <iostream>
+#include <memory>
+#include <set>
+
+DEFINE_string(ip, "127.0.0.1", "IP number to listen on");
+DEFINE_int32(admin_port, 9100, "port of the audit");
+DEFINE_int32(runner_port, 10000, "first port of the runners");
+DEFINE_int32(worker_port, 11000, "first port of the workers");
+DEFINE_int32(runners, 4, "number of runners");
+DEFINE_int32(workers, 4, "number of workers");
+DEFINE_int32(slots, 8, "slots a runner");
+DEFINE_int64(cores, 32, "cores a worker");
+DEFINE_int64(memory_mib, 65536, "memory a worker, in MiB");
+DEFINE_int64(accelerators, 0, "accelerators of those workers that have any");
+DEFINE_int32(accelerator_every, 0, "every so manieth worker has them; 0: none");
+
+namespace {
+
+using nlohmann::json;
+using rattan::event_loop;
+using rattan::http_request;
+using rattan::http_server;
+using rattan::millis;
+
+/** True time in milliseconds. */
+std::int64_t now_ms() {
+    return event_loop::now().time_since_epoch().count();
+}
+
+/** An address of this process. */
+std::string address(int port) {
+    return FLAGS_ip + ":" + std::to_string(port);
+}
+
+/** What all runners ran. */
+struct check_audit {
+    std::map<std::string, int> runs;      ///< By the name in the input.
+    std::map<std::string, int> under_way; ///< By team in the input.
+    std::map<std::string, int> most_under_way;
+    std::uint64_t slots_exceeded = 0;
+    std::uint64_t total = 0;
+};
+
+/** A runner: answers after the time that the input asks for. */
+class runner {
+public:
+    runner(event_loop& loop, int port, check_audit& audit)
+        : loop_(loop), audit_(audit),
+          http_(loop, address(port), {.connections = 200},
+                [this](const http_request& request,
+                       const http_server::responder& answer) {
+                    run(request, answer);
+                }) {}
+
+    std::string mode; ///< Fault: hang, error, crossed, refuse.
+    std::uint64_t faults_hit = 0;
+
+private:
+    void run(const http_request& request,
+             const http_server::responder& answer) {
+        if (mode == "refuse") {
+            ++faults_hit;
+            return answer({.status = 503, .request_id = request.request_id});
+        }
+        if (in_use_ >= FLAGS_slots) {
+            ++audit_.slots_exceeded;
+            return answer({.status = 503, .request_id = request.request_id});
+        }
+        const json input = json::parse(request.body, nullptr, false);
+        const bool is_object = input.is_object();
+        const std::string name = is_object ? input.value("name", "") : "";
+        const std::string team = is_object ? input.value("team", "") : "";
+        const int work_ms = is_object ? input.value("work_ms", 0) : 0;
+        ++audit_.total;
+        if (!name.empty())
+            ++audit_.runs[name];
+        if (!team.empty()) {
+            int& most = audit_.most_under_way[team];
+            most = std::max(most, ++audit_.under_way[team]);
+        }
+        ++in_use_;
+        const auto finish = [this, request, name, team, answer] {
+            --in_use_;
+            if (!team.empty())
+                --audit_.under_way[team];
+            reply(request, name, answer);
+        };
+        if (work_ms <= 0)
+            return finish();
+        loop_.after(millis(work_ms), finish);
+    }
+
+    void reply(const http_request& request, const std::string& name,
+               const http_server::responder& answer) {
+        const std::string body = json({{"ran", name}}).dump() + "\n";
+        if (mode == "hang") {
+            ++faults_hit;
+            loop_.after(millis(30'000), [answer] { answer({}); });
+        } else if (mode == "error") {
+            ++faults_hit;
+            answer({.status = 500,
+                    .body = "{}",
+                    .request_id = request.request_id});
+        } else if (mode == "crossed") {
+            ++faults_hit;
+            answer({.body = body, .request_id = "another"});
+        } else {
+            answer({.body = body, .request_id = request.request_id});
+        }
+    }
+
+    event_loop& loop_;
+    check_audit& audit_;
+    int in_use_ = 0;
+    http_server http_;
+};
+
+/** A worker's port in front of its model. */
+class worker {
+public:
+    worker(event_loop& loop, int port, rattan::standin::worker_habits habits,
+           rattan::standin::auditor& audit)
+        : loop_(loop), model_(std::move(habits), audit),
+          http_(loop, address(port), {.connections = 50},
+                [this](const http_request& request,
+                       const http_server::responder& answer) {
+                    obey(request, answer);
+                }) {}
+
+    /** Takes a fault: dead, mute, lose_answers, fail, restart or none. */
+    void take_fault(const std::string& mode, int count) {
+        mode_ = mode;
+        count_ = count;
+        model_.habits.fails_everything = mode == "fail";
+        if (mode == "dead" || mode == "restart")
+            model_.restart(now_ms());
+    }
+
+    rattan::standin::worker_model& model() { return model_; }
+    std::uint64_t faults_hit = 0;
+
+private:
+    void obey(const http_request& request,
+              const http_server::responder& answer) {
+        if (mode_ == "dead" || mode_ == "mute") {
+            ++faults_hit;
+            return loop_.after(millis(5'000),
+                               [answer] { answer({.status = 500}); }),
+                   void();
+        }
+        rattan::worker_order order;
+        try {
+            order = json::parse(request.body).get<rattan::worker_order>();
+        } catch (const json::exception&) {
+            return answer({.status = 400});
+        }
+        const auto reply = model_.obey(order, now_ms());
+        if (mode_ == "lose_answers" && count_-- > 0) {
+            ++faults_hit;
+            return answer({.status = 500});
+        }
+        answer({.body = json(reply).dump(), .request_id = request.request_id});
+    }
+
+    event_loop& loop_;
+    std::string mode_;
+    int count_ = 0;
+    rattan::standin::worker_model model_;
+    http_server http_;
+};
+
+/** All targets and their audit. */
+class targets {
+public:
+    explicit targets(event_loop& loop)
+        : http_(loop, address(FLAGS_admin_port), {.connections = 50},
+                [this](const http_request& request,
+                       const http_server::responder& answer) {
+                    admin(request, answer);
+                }) {
+        for (int i = 0; i < FLAGS_runners; ++i)
+            runners_.push_back(
+                std::make_unique<runner>(loop, FLAGS_runner_port + i, checks_));
+        for (int i = 0; i < FLAGS_workers; ++i) {
+            const bool has =
+                FLAGS_accelerator_every > 0 && i % FLAGS_accelerator_every == 0;
+            workers_.push_back(std::make_unique<worker>(
+                loop, FLAGS_worker_port + i,
+                rattan::standin::worker_habits{
+                    .owned = {.milli_cores = FLAGS_cores * 1'000,
+                              .memory_mib = FLAGS_memory_mib,
+                              .accelerators = has ? FLAGS_accelerators : 0},
+                    .instance = now_ms()},
+                tasks_));
+        }
+        loop.every(millis(10), [this] {
+            for (const auto& each : workers_)
+                each->model().pass_time(now_ms());
+        });
+    }
+
+private:
+    void admin(const http_request& request,
+               const http_server::responder& answer) {
+        if (request.path == "/admin/audit")
+            return answer({.body = audit().dump()});
+        const json in = json::parse(request.body, nullptr, false);
+        if (in.is_discarded())
+            return answer({.status = 400});
+        if (in.contains("worker"))
+            workers_.at(in["worker"].get<size_t>())
+                ->take_fault(in.value("mode", ""), in.value("count", 1));
+        if (in.contains("runner"))
+            runners_.at(in["runner"].get<size_t>())->mode =
+                in.value("mode", "");
+        answer({.body = "{}"});
+    }
+
+    json audit() const {
+        json teams = json::object();
+        for (const auto& [team, most] : tasks_.most_in_use)
+            teams[team.value] = {{"most_cores", most.milli_cores / 1'000},
+                                 {"most_accelerators", most.accelerators}};
+        json completions = json::object();
+        for (const auto& [task, count] : tasks_.completions)
+            completions[task.job.value + "/" + std::to_string(task.index)] =
+                count;
+        json starts = json::object();
+        for (const auto& [task, count] : tasks_.starts)
+            starts[task.job.value + "/" + std::to_string(task.index)] = count;
+        json running = json::object();
+        for (const auto& [task, count] : tasks_.running)
+            running[task.job.value + "/" + std::to_string(task.index)] = count;
+        std::uint64_t hits = 0;
+        for (const auto& each : workers_)
+            hits += each->faults_hit;
+        std::uint64_t runner_hits = 0;
+        for (const auto& each : runners_)
+            runner_hits += each->faults_hit;
+        return {{"two_places", tasks_.two_places},
+                {"overcommitted", tasks_.overcommitted},
+                {"teams", teams},
+                {"starts", starts},
+                {"completions", completions},
+                {"running", running},
+                {"worker_faults_hit", hits},
+                {"runner_faults_hit", runner_hits},
+                {"checks", checks_.total},
+                {"check_runs", checks_.runs},
+                {"most_checks", checks_.most_under_way},
+                {"slots_exceeded", checks_.slots_exceeded}};
+    }
+
+    check_audit checks_;
+    rattan::standin::auditor tasks_;
+    std::vector<std::unique_ptr<runner>> runners_;
+    std::vector<std::unique_ptr<worker>> workers_;
+    http_server http_;
+};
+
+} // namespace
+
+int main(int argc, char** argv) {
+    gflags::SetUsageMessage("Stands in for runners and workers.");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    try {
+        event_loop loop;
+        const targets all(loop);
+        loop.on_signals([&] { loop.stop(); }, [] {});
+        loop.run();
+    } catch (const rattan::error& failure) {
+        std::cerr << failure.what() << "\n";
+        return 1;
+    }
+}
--- /dev/null
+++ b/standins/worker_model.cpp
@@ -0,0 +1,195 @@
+#include "worker_model.hpp"
+
+#include "placer/order_codec.hpp"
+
+#include <algorithm>
+
+namespace rattan::standin {
+
+namespace {
+
+/** A number behind a name in a payload, as in `run_ms=40`. */
+std::int64_t payload_number(const std::string& payload, const std::string& name,
+                            std::int64_t fallback) {
+    const size_t at = payload.find(name + "=");
+    if (at == std::string::npos)
+        return fallback;
+    return std::atoll(payload.c_str() + at + name.size() + 1);
+}
+
+/** The larger of each part. */
+resources largest(const resources& a, const resources& b) {
+    return {std::max(a.milli_cores, b.milli_cores),
+            std::max(a.memory_mib, b.memory_mib),
+            std::max(a.accelerators, b.accelerators)};
+}
+
+} // namespace
+
+void auditor::started(const task_ref& task, const team_id& team,
+                      const resources& shape) {
+    ++starts[task];
+    if (++running[task] > 1)
+        ++two_places;
+    in_use[team] += shape;
+    most_in_use[team] = largest(most_in_use[team], in_use[team]);
+}
+
+void auditor::ended(const task_ref& task, const team_id& team,
+                    const resources& shape, bool done) {
+    if (--running[task] == 0)
+        running.erase(task);
+    in_use[team] -= shape;
+    if (done)
+        ++completions[task];
+}
+
+void auditor::holds(const resources& held, const resources& owned) {
+    if (!held.fits_in(owned))
+        ++overcommitted;
+}
+
+worker_model::worker_model(worker_habits its_habits, auditor& audit)
+    : habits(std::move(its_habits)), audit_(audit) {}
+
+std::int64_t worker_model::clock(std::int64_t now_ms) const {
+    return static_cast<std::int64_t>(static_cast<double>(now_ms) *
+                                     habits.clock_rate) +
+           1;
+}
+
+resources worker_model::held() const {
+    resources total;
+    for (const auto& [task, each] : tasks_)
+        total += each.order.shape;
+    return total;
+}
+
+std::vector<listed_task> worker_model::listing() const {
+    std::vector<listed_task> list;
+    for (const auto& [task, each] : tasks_)
+        list.push_back({task, each.order.team, each.order.shape, each.state});
+    return list;
+}
+
+size_t worker_model::running() const {
+    return static_cast<size_t>(
+        std::count_if(tasks_.begin(), tasks_.end(), [](const auto& entry) {
+            return entry.second.state == worker_task_state::running;
+        }));
+}
+
+worker_answer worker_model::obey(const worker_order& order,
+                                 std::int64_t now_ms) {
+    pass_time(now_ms);
+    worker_answer answer;
+    answer.instance = habits.instance;
+    answer.clock_ms = clock(now_ms);
+    if (order.instance != 0 && order.instance != habits.instance) {
+        answer.verdict = order_verdict::replaced;
+    } else if (order.owner < fence_) {
+        answer.verdict = order_verdict::fenced;
+    } else if (order.owner == fence_ && order.sequence != 0 &&
+               order.sequence <= sequence_) {
+        answer.verdict = order_verdict::overtaken;
+    } else {
+        if (order.owner > fence_)
+            sequence_ = 0;
+        fence_ = order.owner;
+        lease_until_ = std::max(lease_until_, order.lease_until_ms);
+        if (order.sequence != 0) {
+            sequence_ = order.sequence;
+            take_orders(order, now_ms);
+        }
+    }
+    answer.fence = fence_;
+    const auto list = listing();
+    answer.listing = listing_digest(list);
+    answer.same_listing =
+        !order.known_listing.empty() && order.known_listing == answer.listing;
+    if (!answer.same_listing)
+        answer.tasks = list;
+    answer.events = events_;
+    return answer;
+}
+
+void worker_model::take_orders(const worker_order& order, std::int64_t now_ms) {
+    std::erase_if(events_, [&](const task_event& event) {
+        return event.number <= order.seen_event;
+    });
+    for (const task_ref& task : order.stop)
+        drop(task, task_outcome::stopped);
+    for (const task_ref& task : order.checkpoint)
+        drop(task, task_outcome::stopped);
+    // An order that comes after its own lease starts nothing.
+    const bool late = order.lease_until_ms <= clock(now_ms);
+    for (const task_order& task : order.prepare)
+        if (late)
+            events_.push_back(
+                {next_event_++, task.task, task_outcome::refused});
+        else
+            hold(task, false, now_ms);
+    for (const task_order& task : order.start)
+        if (late)
+            events_.push_back(
+                {next_event_++, task.task, task_outcome::refused});
+        else
+            hold(task, true, now_ms);
+}
+
+void worker_model::hold(const task_order& order, bool start,
+                        std::int64_t now_ms) {
+    const auto found = tasks_.find(order.task);
+    if (found == tasks_.end())
+        tasks_[order.task] = {.order = order};
+    held_task& task = tasks_[order.task];
+    audit_.holds(held(), habits.owned);
+    if (!start || task.state != worker_task_state::prepared)
+        return;
+    task.state = worker_task_state::running;
+    const std::int64_t run_ms =
+        payload_number(order.payload, "run_ms", order.run_ms);
+    task.fails = habits.fails_everything ||
+                 order.payload.find("fail") != std::string::npos;
+    task.ends_ms = task.fails ? now_ms + 1 : run_ms > 0 ? now_ms + run_ms : 0;
+    audit_.started(order.task, task.order.team, task.order.shape);
+}
+
+void worker_model::drop(const task_ref& task, task_outcome outcome) {
+    const auto found = tasks_.find(task);
+    if (found == tasks_.end())
+        return;
+    const held_task ended = found->second;
+    tasks_.erase(found);
+    if (ended.state == worker_task_state::running)
+        audit_.ended(task, ended.order.team, ended.order.shape,
+                     outcome == task_outcome::done);
+    events_.push_back({next_event_++, task, outcome});
+}
+
+void worker_model::pass_time(std::int64_t now_ms) {
+    const auto tasks = tasks_;
+    const bool lapsed = clock(now_ms) >= lease_until_;
+    for (const auto& [task, each] : tasks) {
+        if (each.state == worker_task_state::running && each.ends_ms > 0 &&
+            each.ends_ms <= now_ms)
+            drop(task, each.fails ? task_outcome::failed : task_outcome::done);
+        else if (lapsed)
+            drop(task, task_outcome::lapsed);
+    }
+}
+
+void worker_model::restart(std::int64_t) {
+    for (const auto& [task, each] : tasks_)
+        if (each.state == worker_task_state::running)
+            audit_.ended(task, each.order.team, each.order.shape, false);
+    tasks_.clear();
+    events_.clear();
+    fence_ = {};
+    sequence_ = 0;
+    lease_until_ = 0;
+    next_event_ = 1;
+    ++habits.instance;
+}
+
+} // namespace rattan::standin
