Take over, outlive every host, and go on without the log

Cause: the promises on ownership and on accepted jobs were code without a proof. The new process tests failed first in these ways: - running_work_goes_on_through_an_outage: a check got 429 during an outage, since its gate held no slice of the team's limit yet. Now every holder takes an idle slice (half of an even part of the limit) ahead of need. - paused_owner_is_fenced: a task was started twice (never in two places). A successor renewed what it had adopted only a third of a lease after the fence, and by then the old lease had ended (the placer's counters: adopted 4, vanished 4). Settings that leave no time for a takeover are refused as well. - job_of_a_dead_worker_restarts: the pings came as seldom as the timeout allowed, so a placer took over from a live one; five pings a timeout now. - owner_and_worker_die_together: jobs waited for ever for a worker that nobody could reach. Leases that an earlier owner or standby may have renewed are known to be over when each other entry host of the data centre says that it has renewed none for as long as one can last. - a resumed owner took pings that had waited in its sockets for new ones; nothing counts as ended until the state is fresh.

Ruled out: a bound on a standby's care instead of the word of the peers (an hour's cut would end all work, or block every restart for as long).

--- a/src/gate/gate_service.cpp
+++ b/src/gate/gate_service.cpp
@@ -41,7 +41,7 @@
                      update_runners();
                      pump_checks();
                  }}),
-      quota_(gate_holder(settings_.process.host)),
+      quota_(gate_holder(settings_.process.host), {quota_kind::checks}),
       runners_(choice_policies().at(settings_.choice),
                static_cast<std::uint64_t>(wall_millis())),
       window_(wall_millis(), settings_.clock_skew.count()),
--- a/src/placer/placer_base.cpp
+++ b/src/placer/placer_base.cpp
@@ -16,7 +16,8 @@
 
 placer_base::placer_base(placer_options options, const packing_policy& policy)
     : options_(std::move(options)), policy_(policy),
-      quota_(centre_holder(options_.data_centre)) {}
+      quota_(centre_holder(options_.data_centre),
+             {quota_kind::milli_cores, quota_kind::accelerators}) {}
 
 void placer_base::on_restore(const cell_state& state, mono_time now) {
     end_ownership();
@@ -78,6 +79,8 @@
 placer_output placer_base::tick(const cell_state& state,
                                 const placer_surroundings& around) {
     orders_.clear();
+    if (born_ == mono_time{})
+        born_ = around.now;
     if (owner_ == epoch{}) {
         if (around.log_reachable && around.may_decide)
             consider_claim(state, around.now);
@@ -87,7 +90,10 @@
     }
     may_start_ = around.may_decide;
     follow_hosts(state, around.now);
-    drop_lapsed(state, around.now);
+    // After a pause old pings look like new ones: nothing has provably
+    // ended until the state is fresh again.
+    if (around.may_decide)
+        drop_lapsed(state, around.now);
     resolve_doubts(around.now);
     drain_centre(state);
     drain_leaving();
--- a/src/placer/placer_base.hpp
+++ b/src/placer/placer_base.hpp
@@ -66,7 +66,10 @@
     /** The claim under which this placer decides, or 0. */
     [[nodiscard]] epoch owner() const { return owner_; }
 
-    /** Tells whether no lease can be alive that this standby has renewed. */
+    /**
+     * Tells whether no lease can be alive that this entry host has renewed,
+     * with an earlier process of it counted in.
+     */
     [[nodiscard]] bool is_quiet(mono_time now) const;
 
     /** Everything known, for operators. */
@@ -113,6 +116,8 @@
     void take_events(worker_view& worker, const std::vector<task_event>& events,
                      mono_time now);
     void drop_lapsed(const cell_state& state, mono_time now);
+    bool drop_unheard(const cell_state& state, worker_view& worker,
+                      mono_time now);
     [[nodiscard]] millis poll_period(const worker_view& worker,
                                      mono_time now) const;
     void build_orders(mono_time now);
@@ -180,7 +185,8 @@
     std::vector<outgoing_order> orders_;
     bool may_start_ = false;                 ///< In this tick.
     std::map<worker_id, worker_view> cared_; ///< Renewed as a standby.
-    mono_time last_care_{};
+    mono_time last_renewal_{};               ///< As an owner or as a standby.
+    mono_time born_{};                       ///< First tick of this process.
     mono_time care_until_{}; ///< No care for others beyond this.
     struct heard_peer {
         mono_time at{};
--- a/src/placer/placer_main.cpp
+++ b/src/placer/placer_main.cpp
@@ -20,6 +20,11 @@
     if (!rattan::packing_policies().contains(settings.packing))
         throw rattan::config_error("settings", 0, "packing",
                                    "must be best_fit or first_fit");
+    if (settings.lease * 2 / 3 <= settings.owner_timeout * 2)
+        throw rattan::config_error(
+            "settings", 0, "lease_ms",
+            "must be over three times owner_timeout_ms, so that a "
+            "successor adopts tasks before their leases end");
     if (settings.process.relays.empty())
         throw rattan::config_error("settings", 0, "relays",
                                    "needs at least 1 address");
--- a/src/placer/placer_service.cpp
+++ b/src/placer/placer_service.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr millis TICK_PERIOD{50};
-constexpr millis PING_PERIOD{500};
+constexpr std::int64_t PINGS_A_TIMEOUT = 5;
 constexpr millis PING_TIMEOUT{1'000};
 constexpr millis APPEND_EXPIRY{1'500};
 /** Orders are short and few at a time to one worker. */
@@ -72,7 +72,8 @@
     });
     feed_.start();
     loop_.every(TICK_PERIOD, [this] { tick(); });
-    loop_.every(PING_PERIOD, [this] { ping_owner(); });
+    loop_.every(settings_.owner_timeout / PINGS_A_TIMEOUT,
+                [this] { ping_owner(); });
     log_event(log_level::info, "started",
               {{"host", settings_.process.host.value},
                {"data_centre", settings_.process.data_centre.value}});
--- a/src/placer/placer_takeover.cpp
+++ b/src/placer/placer_takeover.cpp
@@ -88,7 +88,8 @@
 }
 
 bool placer_base::is_quiet(mono_time now) const {
-    return last_care_ == mono_time{} || now - last_care_ > lease_bound();
+    return born_ != mono_time{} &&
+           now - std::max(last_renewal_, born_) > lease_bound();
 }
 
 void placer_base::consider_claim(const cell_state& state, mono_time now) {
@@ -136,7 +137,7 @@
         if (worker.clock_ms > 0) {
             order.instance = worker.instance;
             order.lease_until_ms = worker.clock_ms + options_.lease.count();
-            last_care_ = now;
+            last_renewal_ = now;
         }
         worker.in_flight = true;
         worker.ordered = now;
--- a/src/placer/placer_type.hpp
+++ b/src/placer/placer_type.hpp
@@ -57,6 +57,7 @@
 struct worker_view {
     worker_info info;
     bool listed = false;       ///< On the platform's list.
+    bool was_listed = false;   ///< On it at some time under this owner.
     bool leaving = false;      ///< Gets no new work.
     bool fenced = false;       ///< Has obeyed this owner.
     bool cleared = false;      ///< Provably runs nothing of an earlier owner.
--- a/src/placer/placer_worker.cpp
+++ b/src/placer/placer_worker.cpp
@@ -101,13 +101,26 @@
     return true;
 }
 
+bool placer_base::drop_unheard(const cell_state& state, worker_view& worker,
+                               mono_time now) {
+    // Before it owned this data centre it may itself have renewed leases.
+    const bool waited = now - owned_since_ > lease_bound();
+    // Whoever else may have renewed them says that they have ended.
+    const bool ended = peers_quiet_since(state, owned_since_, now);
+    // Or the machine is gone, by a list that had shown it.
+    const bool gone = worker.was_listed && !worker.listed;
+    if (!worker.cleared && waited && (ended || gone)) {
+        worker.cleared = true;
+        ++counters_["workers_cleared_unheard"];
+    }
+    return worker.cleared && !worker.listed;
+}
+
 void placer_base::drop_lapsed(const cell_state& state, mono_time now) {
     std::vector<worker_id> retired;
     for (auto& [id, worker] : workers_) {
         if (!worker.fenced) {
-            // Never answered this owner: only the platform's word ends it.
-            if (!worker.listed && now - owned_since_ > lease_bound() &&
-                peers_quiet_since(state, owned_since_ + lease_bound(), now))
+            if (drop_unheard(state, worker, now))
                 retired.push_back(id);
             continue;
         }
@@ -124,8 +137,6 @@
             retired.push_back(id);
     }
     for (const worker_id& id : retired) {
-        worker_view& worker = workers_[id];
-        worker.cleared = true;
         outbox_.offer("retire/" + id.value, worker_retire{owner_, id}, now);
         if (!state.workers.contains(id)) {
             outbox_.settle("retire/" + id.value);
@@ -175,8 +186,10 @@
         worker.listing = answer.tasks;
     const bool first = !worker.fenced;
     worker.fenced = true;
-    if (first)
+    if (first) {
         adopt_listing(worker);
+        worker.ordered = mono_time{}; // renew what was adopted at once
+    }
     worker.cleared = true;
     take_events(worker, answer.events, now);
     if (!first)
@@ -369,6 +382,7 @@
         order.instance = worker.instance;
         order.sequence = ++worker.sequence;
         order.lease_until_ms = worker.clock_ms + options_.lease.count();
+        last_renewal_ = now;
         order.known_listing = listing_digest(worker.listing);
         order.seen_event = worker.unseen_events.empty()
                                ? worker.handled_event
--- a/src/quota/quota_holder.cpp
+++ b/src/quota/quota_holder.cpp
@@ -16,6 +16,22 @@
 /** Asked for above the need, in percent of what runs: fewer appends. */
 constexpr std::int64_t HEADROOM_PERCENT = 10;
 
+/** How many holders share a limit, by the declarations. */
+std::int64_t declared_holders(const cell_state& state, quota_kind kind) {
+    std::int64_t count = 0;
+    for (const auto& [id, centre] : state.config.in_force.data_centres)
+        count += kind == quota_kind::checks
+                     ? static_cast<std::int64_t>(centre.entry_hosts.size())
+                     : 1;
+    return std::max<std::int64_t>(count, 1);
+}
+
+/** What an idle holder keeps, so that it can serve when it is cut off. */
+std::int64_t idle_slice(const cell_state& state, const quota_key& key) {
+    return quota_limit(state, key) /
+           (FLOOR_DIVISOR * declared_holders(state, key.kind));
+}
+
 /** The sum of what other holders wait for. */
 std::int64_t wanted_by_others(const quota_slices& slices,
                               const holder_id& holder) {
@@ -116,11 +132,9 @@
     const std::int64_t wanted = wanted_by_others(slices->second, holder_);
     if (wanted == 0)
         return 0;
-    const auto holders = static_cast<std::int64_t>(slices->second.size());
     // Own demand is served first; it may have been queued behind theirs.
     const std::int64_t needed = spent(key) + value_or_zero(demand_, key);
-    const std::int64_t kept =
-        std::max(needed, limit / (FLOOR_DIVISOR * holders));
+    const std::int64_t kept = std::max(needed, idle_slice(state, key));
     return std::clamp<std::int64_t>(mine.amount - kept, 0, wanted);
 }
 
@@ -138,11 +152,14 @@
                                                   .amount = cede,
                                                   .serial = mine.serial}};
     const std::int64_t needed = spent(key) + value_or_zero(demand_, key);
-    const std::int64_t target = std::min(
-        needed + needed * HEADROOM_PERCENT / 100, quota_limit(state, key));
+    const std::int64_t idle = idle_slice(state, key);
+    const std::int64_t target =
+        std::min(std::max(idle, needed + needed * HEADROOM_PERCENT / 100),
+                 quota_limit(state, key));
     const std::int64_t want =
-        needed > mine.amount ? std::max<std::int64_t>(0, target - mine.amount)
-                             : 0;
+        std::max(needed, idle) > mine.amount
+            ? std::max<std::int64_t>(0, target - mine.amount)
+            : 0;
     const bool unmet = want > mine.want;
     const bool unneeded = want == 0 && mine.want > 0;
     if (!unmet && !unneeded)
@@ -165,6 +182,9 @@
     for (const auto& [key, slices] : state.quotas)
         if (slices.contains(holder_))
             keys.insert(key);
+    for (const auto& [team, declared] : state.config.in_force.teams)
+        for (const quota_kind kind : kinds_)
+            keys.insert({team, kind});
     for (const quota_key& key : keys) {
         auto pending = pending_.find(key);
         if (pending != pending_.end() &&
--- a/src/quota/quota_holder.hpp
+++ b/src/quota/quota_holder.hpp
@@ -17,7 +17,9 @@
  */
 class quota_holder {
 public:
-    explicit quota_holder(holder_id holder) : holder_(std::move(holder)) {}
+    /** @param kinds What this holder's slices are of. */
+    quota_holder(holder_id holder, std::vector<quota_kind> kinds)
+        : holder_(std::move(holder)), kinds_(std::move(kinds)) {}
 
     /** Sets the claim under which records are written, and starts anew. */
     void begin(epoch owner);
@@ -68,6 +70,7 @@
                                        const quota_key& key) const;
 
     holder_id holder_;
+    std::vector<quota_kind> kinds_;
     epoch owner_;
     std::map<quota_key, std::int64_t> spent_;
     std::map<quota_key, std::int64_t> demand_;
