--- a/src/gate/gate_service.cpp
+++ b/src/gate/gate_service.cpp
@@ -98,7 +98,8 @@
 }
 
 bool gate_service::is_ready() const {
-    return settled_ && !leaving_ &&
+    // With its idle slices a gate can serve when it is cut off later.
+    return settled_ && (primed_ || !feed_.fresh().log_reachable) && !leaving_ &&
            feed_.fresh().may_serve(
                event_loop::now(),
                feed_.state().config.in_force.cell.isolation_limit);
@@ -117,6 +118,7 @@
     if (!feed_.started() || !settled_)
         return;
     ask_for_quota();
+    primed_ = primed_ || quota_.settled();
 }
 
 void gate_service::on_http(const http_request& request,
--- a/src/gate/gate_service.hpp
+++ b/src/gate/gate_service.hpp
@@ -152,6 +152,7 @@
     std::multimap<job_id, waiting_job> waiting_jobs_;
     mono_time started_{};
     bool settled_ = false; ///< No append of an earlier process is open.
+    bool primed_ = false;  ///< Has had its idle slices granted.
     bool leaving_ = false;
     mono_time last_request_{};
     size_t next_gate_ = 0;
--- a/src/placer/placer_base.cpp
+++ b/src/placer/placer_base.cpp
@@ -104,7 +104,9 @@
     settle_jobs(state, around.now);
     build_orders(around.now);
     placer_output output{std::exchange(orders_, {}), outbox_.take()};
-    for (log_entry& record : quota_.tick(state, around.now))
+    // What an earlier owner started counts before it has been listed.
+    const bool all_counted = !takeover_pending();
+    for (log_entry& record : quota_.tick(state, around.now, all_counted))
         output.records.push_back(std::move(record));
     return output;
 }
--- a/src/quota/quota_holder.cpp
+++ b/src/quota/quota_holder.cpp
@@ -42,6 +42,15 @@
     return wanted;
 }
 
+/** The sum of what holders wait for that began to wait earlier. */
+std::int64_t wanted_before(const quota_slices& slices, std::int64_t want_at) {
+    std::int64_t wanted = 0;
+    for (const auto& [id, slice] : slices)
+        if (slice.want > 0 && slice.want_at < want_at && slice.dropped_ms == 0)
+            wanted += slice.want;
+    return wanted;
+}
+
 /** A value of a map, or zero. */
 std::int64_t value_or_zero(const std::map<quota_key, std::int64_t>& values,
                            const quota_key& key) {
@@ -135,13 +144,21 @@
     // Own demand is served first; it may have been queued behind theirs.
     const std::int64_t needed = spent(key) + value_or_zero(demand_, key);
     const std::int64_t kept = std::max(needed, idle_slice(state, key));
-    return std::clamp<std::int64_t>(mine.amount - kept, 0, wanted);
+    if (mine.amount > kept)
+        return std::min(mine.amount - kept, wanted);
+    // What is left is too little for anything that waits here. Whoever has
+    // waited longest gets such rests of all, so that they add up.
+    if (value_or_zero(demand_, key) == 0 || mine.want == 0)
+        return 0;
+    return std::clamp<std::int64_t>(
+        unspent, 0, wanted_before(slices->second, mine.want_at));
 }
 
 std::optional<quota_holder::pending_record>
-quota_holder::decide(const cell_state& state, const quota_key& key) const {
+quota_holder::decide(const cell_state& state, const quota_key& key,
+                     bool may_cede) const {
     const quota_slice mine = slice(state, key);
-    const std::int64_t cede = surplus(state, key);
+    const std::int64_t cede = may_cede ? surplus(state, key) : 0;
     if (cede > 0)
         return pending_record{.serial = mine.serial,
                               .ceded = cede,
@@ -174,7 +191,7 @@
 }
 
 std::vector<log_entry> quota_holder::tick(const cell_state& state,
-                                          mono_time now) {
+                                          mono_time now, bool may_cede) {
     std::vector<log_entry> records;
     std::set<quota_key> keys;
     for (const auto& [key, amount] : demand_)
@@ -193,7 +210,7 @@
             pending = pending_.end();
         }
         if (pending == pending_.end()) {
-            auto record = decide(state, key);
+            auto record = decide(state, key, may_cede);
             if (!record)
                 continue;
             pending = pending_.emplace(key, std::move(*record)).first;
--- a/src/quota/quota_holder.hpp
+++ b/src/quota/quota_holder.hpp
@@ -44,9 +44,15 @@
     [[nodiscard]] std::int64_t overspent(const cell_state& state,
                                          const quota_key& key) const;
 
-    /** Decides on records: wants for unmet demand, cedes of what others
-     * need. */
-    std::vector<log_entry> tick(const cell_state& state, mono_time now);
+    /**
+     * Decides on records: wants for unmet demand, cedes of what others need.
+     * @param may_cede False while something may run that is not counted yet.
+     */
+    std::vector<log_entry> tick(const cell_state& state, mono_time now,
+                                bool may_cede = true);
+
+    /** Tells whether no record waits to be seen in the log. */
+    [[nodiscard]] bool settled() const { return pending_.empty(); }
 
     [[nodiscard]] const holder_id& holder() const { return holder_; }
 
@@ -63,8 +69,8 @@
     [[nodiscard]] quota_slice slice(const cell_state& state,
                                     const quota_key& key) const;
     /** A record for this limit, when one is due. */
-    std::optional<pending_record> decide(const cell_state& state,
-                                         const quota_key& key) const;
+    std::optional<pending_record>
+    decide(const cell_state& state, const quota_key& key, bool may_cede) const;
     /** How much to give back now. */
     [[nodiscard]] std::int64_t surplus(const cell_state& state,
                                        const quota_key& key) const;
--- a/tests/process_fixture.hpp
+++ b/tests/process_fixture.hpp
@@ -23,10 +23,9 @@
         const char* shard = std::getenv("GTEST_SHARD_INDEX");
         const char* port = std::getenv("RATTAN_TEST_PORT");
         const int first_port =
-            port != nullptr ? std::atoi(port)
-                            : 12'000 + (shard == nullptr ? 0
-                                                         : std::atoi(shard)) *
-                                           5'000;
+            port != nullptr
+                ? std::atoi(port)
+                : 12'000 + (shard == nullptr ? 0 : std::atoi(shard)) * 5'000;
         cluster_options options;
         options.declarations = RATTAN_EXAMPLES "/board";
         options.folder = std::filesystem::temp_directory_path() /
--- /dev/null
+++ b/tests/process_quota_test.cpp
@@ -0,0 +1,147 @@
+/** @file Upper limits across the fleet, and targets that leave. */
+#include "harness_load.hpp"
+#include "process_fixture.hpp"
+
+#include <atomic>
+#include <csignal>
+
+namespace rattan::standin {
+
+using nlohmann::json;
+
+class quota_test : public process_test {
+protected:
+    json watch(int tasks, int cores) {
+        return {{"plan", "curing-watch"},
+                {"tasks", tasks},
+                {"cores", cores},
+                {"memory_mib", 128}};
+    }
+    int most_cores(const std::string& team) {
+        const auto teams = deployment->audit()["teams"];
+        return teams.contains(team) ? teams[team]["most_cores"].get<int>() : 0;
+    }
+    std::int64_t version() {
+        return http_do({.url = deployment->relay_url(0) + "/v1/config",
+                        .headers = {{"Authorization", "Bearer ops.demo"}}})
+            .json()["version"];
+    }
+};
+
+TEST_F(quota_test, running_work_stays_within_the_limit_and_reaches_it) {
+    start(small_options());
+    // eldoret-shops may run 100 cores; 12 watches of 16 ask for 192.
+    for (int i = 0; i < 12; ++i)
+        accepted(i % 6, SMALL_TEAM, watch(8, 2));
+    EXPECT_TRUE(wait_until([&] { return running() == 50; })) << running();
+    std::this_thread::sleep_for(std::chrono::milliseconds(1'000));
+    EXPECT_EQ(running(), 50);
+    EXPECT_EQ(most_cores("eldoret-shops"), 100);
+}
+
+TEST_F(quota_test, limit_holds_when_placers_die_while_it_is_full) {
+    start(small_options());
+    for (int i = 0; i < 12; ++i)
+        accepted(i % 6, SMALL_TEAM, watch(8, 2));
+    ASSERT_TRUE(wait_until([&] { return running() == 50; }));
+    for (int centre = 0; centre < 3; ++centre)
+        deployment->kill_program(owner_host(centre), program::placer, SIGKILL);
+    ASSERT_TRUE(wait_until([&] {
+        return owner_host(0) >= 0 && owner_host(1) >= 0 && owner_host(2) >= 0;
+    }));
+    std::this_thread::sleep_for(std::chrono::milliseconds(2'000));
+    EXPECT_EQ(most_cores("eldoret-shops"), 100);
+    EXPECT_EQ(running(), 50);
+}
+
+TEST_F(quota_test, lowered_limit_is_shed_and_not_exceeded_again) {
+    start(small_options());
+    for (int i = 0; i < 12; ++i)
+        accepted(i % 6, SMALL_TEAM, watch(8, 2));
+    ASSERT_TRUE(wait_until([&] { return running() == 50; }));
+    json team = deployment->declarations()["teams"]["eldoret-shops"];
+    team["limits"]["cores"] = 40;
+    ASSERT_EQ(deployment
+                  ->publish_change(version(),
+                                   {{"teams", {{"eldoret-shops", team}}}},
+                                   json::object())
+                  .status,
+              200);
+    EXPECT_TRUE(wait_until([&] { return running() <= 20; })) << running();
+    for (int i = 0; i < 20; ++i) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        EXPECT_LE(running(), 20);
+    }
+}
+
+TEST_F(quota_test, checks_stay_within_a_limit_below_the_number_of_gates) {
+    start(small_options());
+    // Two checks at a time for six gates.
+    std::vector<std::string> gates;
+    for (int host = 0; host < 6; ++host)
+        gates.push_back(deployment->gate_url(host));
+    std::vector<std::thread> callers;
+    std::atomic<int> answered{0};
+    for (int i = 0; i < 12; ++i)
+        callers.emplace_back([&, i] {
+            for (int round = 0; round < 5; ++round) {
+                const auto answer =
+                    check(i % 6, SMALL_TEAM, "",
+                          {{"plan", "price-check"},
+                           {"idempotent", true},
+                           {"deadline_ms", 1'000},
+                           {"input", {{"work_ms", 10}, {"team", "eldoret"}}}});
+                if (answer.status == 200)
+                    ++answered;
+            }
+        });
+    for (std::thread& each : callers)
+        each.join();
+    EXPECT_LE(deployment->audit()["most_checks"]["eldoret"], 2);
+    EXPECT_GT(answered, 6);
+}
+
+TEST_F(quota_test, leaving_worker_gets_no_new_work_and_is_emptied) {
+    start(small_options());
+    json job = watch(2, 1);
+    job["data_centre"] = "nairobi-1";
+    const auto id = accepted(0, BIG_TEAM, job);
+    ASSERT_TRUE(wait_until([&] { return running() == 2; }));
+    deployment->send_hosts({0});
+    // Its task moves to the other worker of that data centre.
+    EXPECT_TRUE(wait_until([&] {
+        const auto places = this->job(0, BIG_TEAM, id)["placement"]["places"];
+        return places.size() == 2 && places["0"]["worker"] == "worker-3" &&
+               places["1"]["worker"] == "worker-3" && running() == 2;
+    }));
+    for (int i = 0; i < 4; ++i)
+        accepted(i, BIG_TEAM, job);
+    ASSERT_TRUE(wait_until([&] { return running() == 10; }));
+    const int owner = owner_host(0);
+    const auto dump =
+        http_do({.url = deployment->placer_url(owner) + "/dump"}).json();
+    EXPECT_TRUE(dump["workers"]["worker-0"]["tasks"].empty());
+    EXPECT_TRUE(dump["workers"]["worker-0"]["leaving"].get<bool>());
+}
+
+TEST_F(quota_test, worker_that_fails_everything_does_not_draw_work_in) {
+    start(small_options());
+    deployment->fault_targets({{"worker", 0}, {"mode", "fail"}});
+    std::vector<std::string> jobs;
+    for (int i = 0; i < 20; ++i)
+        jobs.push_back(accepted(i % 6, BIG_TEAM,
+                                {{"plan", "tender-pricing"},
+                                 {"tasks", 1},
+                                 {"cores", 1},
+                                 {"memory_mib", 128},
+                                 {"data_centre", "nairobi-1"},
+                                 {"payload", "run_ms=20"}}));
+    int done = 0;
+    for (const std::string& id : jobs)
+        done += outcome(0, BIG_TEAM, id) == "done" ? 1 : 0;
+    EXPECT_GE(done, 18);
+    const int owner = owner_host(0);
+    EXPECT_GE(placer_counter(owner, "workers_avoided"), 1);
+}
+
+} // namespace rattan::standin
