--- a/src/placer/placer_base.hpp
+++ b/src/placer/placer_base.hpp
@@ -136,7 +136,8 @@
     void add_job(const job_id& id, const live_job& job, mono_time now);
     void erase_job(const job_id& id);
     void cancel_job(const job_id& id, mono_time now);
-    void task_gone(const task_ref& task, task_outcome outcome, mono_time now);
+    void task_gone(const worker_id& worker, const task_ref& task,
+                   task_outcome outcome, mono_time now);
     void task_failed(job_view& job, mono_time now);
     void task_vanished(job_view& job, mono_time now);
     void pursue(job_view& job, job_goal goal, job_outcome outcome,
--- a/src/placer/placer_job.cpp
+++ b/src/placer/placer_job.cpp
@@ -99,13 +99,19 @@
         job.waiting = wait_reason::stopping;
 }
 
-void placer_base::task_gone(const task_ref& task, task_outcome outcome,
-                            mono_time now) {
+void placer_base::task_gone(const worker_id& worker, const task_ref& task,
+                            task_outcome outcome, mono_time now) {
     const auto found = jobs_.find(task.job);
     if (found == jobs_.end())
         return;
     job_view& job = found->second;
-    job.placed.erase(task.index);
+    const auto place = job.placed.find(task.index);
+    const bool here = place != job.placed.end() && place->second == worker;
+    // Late news of a task that was given up here and runs elsewhere now.
+    if (!here && outcome != task_outcome::done)
+        return;
+    if (here)
+        job.placed.erase(place);
     unsettled_.insert(task.job);
     switch (outcome) {
     case task_outcome::done:
@@ -122,6 +128,10 @@
         task_vanished(job, now);
         break;
     case task_outcome::refused:
+        // The rest of its gang may have been started already.
+        if (job.started && job.spec.tasks > 1 && !job.spec.restartable)
+            pursue(job, job_goal::end, job_outcome::unknown,
+                   "a task of the gang could not be started");
         job.not_before = now + options_.retry_backoff;
         job.waiting = wait_reason::backoff;
         break;
--- a/src/placer/placer_schedule.cpp
+++ b/src/placer/placer_schedule.cpp
@@ -222,7 +222,7 @@
         centre->second.in_service)
         return;
     for (auto& [id, job] : jobs_) {
-        if (job.goal != job_goal::run)
+        if (job.goal != job_goal::run || job.doubtful)
             continue;
         const bool may_stop =
             !job.started ||
--- a/src/placer/placer_takeover.cpp
+++ b/src/placer/placer_takeover.cpp
@@ -193,7 +193,7 @@
             continue;
         job.doubtful = false;
         unsettled_.insert(id);
-        if (job.goal != job_goal::run)
+        if (job.goal == job_goal::end)
             continue;
         const auto found =
             static_cast<std::int32_t>(job.placed.size() + job.done.size());
--- a/src/placer/placer_type.hpp
+++ b/src/placer/placer_type.hpp
@@ -49,6 +49,7 @@
     resources shape;
     bool checkpoint = false; ///< Save its state when stopping.
     bool sent = false;       ///< An order with it has gone out.
+    bool unclear = false;    ///< That order was not answered.
     bool ends = false;       ///< It is expected to end by itself.
     mono_time since{};       ///< When its phase began.
 };
@@ -62,6 +63,7 @@
     bool fenced = false;       ///< Has obeyed this owner.
     bool cleared = false;      ///< Provably runs nothing of an earlier owner.
     bool in_flight = false;    ///< An order waits for its answer.
+    bool unclear = false;      ///< The last order was not answered.
     std::int64_t instance = 0; ///< Its process, as last answered.
     std::int64_t sequence = 0;
     std::int64_t clock_ms = 0; ///< Its clock at the last answer.
--- a/src/placer/placer_worker.cpp
+++ b/src/placer/placer_worker.cpp
@@ -131,7 +131,7 @@
         for (const auto& [task, placed] : tasks) {
             ++counters_["tasks_lapsed"];
             remove_task(worker, task);
-            task_gone(task, task_outcome::lapsed, now);
+            task_gone(worker.info.id, task, task_outcome::lapsed, now);
         }
         if (!worker.listed)
             retired.push_back(id);
@@ -172,10 +172,9 @@
         ++counters_[answer.verdict == order_verdict::fenced
                         ? "orders_fenced"
                         : "orders_overtaken"];
+        worker.unclear = true;
         for (auto& [task, placed] : worker.tasks)
-            if (placed.phase != task_phase::running &&
-                placed.phase != task_phase::prepared)
-                placed.sent = false;
+            placed.unclear = placed.sent;
         return;
     }
     worker.instance = answer.instance;
@@ -191,6 +190,7 @@
         worker.ordered = mono_time{}; // renew what was adopted at once
     }
     worker.cleared = true;
+    worker.unclear = false;
     take_events(worker, answer.events, now);
     if (!first)
         reconcile(worker, now);
@@ -207,7 +207,7 @@
     const auto tasks = worker.tasks;
     for (const auto& [task, placed] : tasks) {
         remove_task(worker, task);
-        task_gone(task, task_outcome::lapsed, now);
+        task_gone(worker.info.id, task, task_outcome::lapsed, now);
     }
 }
 
@@ -225,10 +225,9 @@
         return;
     ++counters_["orders_unanswered"];
     found->second.in_flight = false;
+    found->second.unclear = true;
     for (auto& [task, placed] : found->second.tasks)
-        if (placed.phase != task_phase::running &&
-            placed.phase != task_phase::prepared)
-            placed.sent = false;
+        placed.unclear = placed.sent;
 }
 
 void placer_base::take_events(worker_view& worker,
@@ -255,7 +254,7 @@
         const bool held = worker.tasks.contains(event.task);
         remove_task(worker, event.task);
         if (held || job != jobs_.end())
-            task_gone(event.task, event.outcome, now);
+            task_gone(worker.info.id, event.task, event.outcome, now);
     }
 }
 
@@ -268,11 +267,19 @@
         if (!placed.sent)
             continue;
         const auto found = listing.find(task);
+        worker.tasks[task].unclear = false;
         if (found == listing.end()) {
             if (placed.phase == task_phase::prepared)
                 continue; // an event tells, or the start is refused
+            if (placed.unclear && (placed.phase == task_phase::preparing ||
+                                   placed.phase == task_phase::starting)) {
+                // The unanswered order had no effect and, being overtaken,
+                // never will: only now may it be sent again.
+                worker.tasks[task].sent = false;
+                continue;
+            }
             remove_task(worker, task);
-            task_gone(task,
+            task_gone(worker.info.id, task,
                       placed.phase == task_phase::stopping
                           ? task_outcome::stopped
                           : task_outcome::lapsed,
@@ -283,6 +290,9 @@
         if (view.phase == task_phase::preparing &&
             found->second == worker_task_state::prepared)
             view.phase = task_phase::prepared;
+        if (view.phase == task_phase::starting &&
+            found->second == worker_task_state::prepared)
+            view.sent = false; // the unanswered start had no effect
         if (view.phase == task_phase::starting &&
             found->second == worker_task_state::running) {
             view.phase = task_phase::running;
@@ -334,7 +344,8 @@
             worker.tasks.begin(), worker.tasks.end(),
             [this](const auto& entry) { return is_sendable(entry.second); });
         const bool unanswered = worker.answered < worker.ordered;
-        if ((has_news && (!unanswered || since >= FENCE_RETRY)) ||
+        const bool asks = has_news || worker.unclear;
+        if ((asks && (!unanswered || since >= FENCE_RETRY)) ||
             since >= poll_period(worker, now))
             send_order(worker, now);
     }
--- a/standins/worker_model.cpp
+++ b/standins/worker_model.cpp
@@ -152,6 +152,7 @@
     task.fails = habits.fails_everything ||
                  order.payload.find("fail") != std::string::npos;
     task.ends_ms = task.fails ? now_ms + 1 : run_ms > 0 ? now_ms + run_ms : 0;
+    ++starts;
     audit_.started(order.task, task.order.team, task.order.shape);
 }
 
--- a/standins/worker_model.hpp
+++ b/standins/worker_model.hpp
@@ -57,6 +57,7 @@
 
     [[nodiscard]] size_t running() const;
     worker_habits habits;
+    std::uint64_t starts = 0; ///< Tasks started here so far.
 
 private:
     struct held_task {
