Fence restarted workers through the log; mend what longer histories found

A worker's process is enlisted in the log now before it gets work, so a stale owner can't adopt a new one. One append a restart. - a worker was overcommitted: events told again after a takeover, of an earlier stay of a task on the same worker, freed what it holds now. - a job was in doubt although its tasks only held resources, and could never start. Only running tasks resolve a doubt. - a gang held before a limit was lowered started after it. What has not been started is shed first. The oracle lets an old limit stand until every placer could read the new one.

--- a/include/rattan/cell_type.hpp
+++ b/include/rattan/cell_type.hpp
@@ -41,6 +41,12 @@
 /** All slices of one limit. */
 using quota_slices = std::map<holder_id, quota_slice>;
 
+/** A worker that may hold tasks. */
+struct enlisted_worker {
+    worker_info info;
+    std::int64_t instance = 0; ///< The process that may get work.
+};
+
 /** Last group seen of a writer. */
 struct writer_state {
     std::int64_t incarnation = 0;
@@ -64,7 +70,7 @@
     config_state config;
     std::map<host_id, writer_state> writers;
     std::map<data_centre_id, centre_owner> owners;
-    std::map<worker_id, worker_info> workers; ///< Enlisted ones.
+    std::map<worker_id, enlisted_worker> workers;
     std::map<job_id, live_job> jobs;
     std::map<job_id, ended_job> ended;
     std::deque<job_id> ended_order; ///< Oldest first.
--- a/include/rattan/record_type.hpp
+++ b/include/rattan/record_type.hpp
@@ -32,10 +32,14 @@
     epoch base;                   ///< The claim that it follows.
 };
 
-/** From here on the owner may give work to a worker. */
+/**
+ * From here on the owner may give work to this process of a worker. A worker
+ * that restarts has forgotten who fenced it; the log has not.
+ */
 struct worker_enlist {
     epoch owner;
     worker_info worker;
+    std::int64_t instance = 0; ///< 0: not known yet, no work.
 };
 
 /** Provably nothing runs on a worker, and nothing will. */
--- a/src/fold/fold_cmd.cpp
+++ b/src/fold/fold_cmd.cpp
@@ -92,13 +92,15 @@
     const auto found = state.workers.find(enlist.worker.id);
     if (found == state.workers.end())
         return fold_verdict::accepted;
-    return found->second == enlist.worker ? fold_verdict::repeated
-                                          : fold_verdict::wrong_state;
+    if (found->second.info != enlist.worker)
+        return fold_verdict::wrong_state;
+    return found->second.instance == enlist.instance ? fold_verdict::repeated
+                                                     : fold_verdict::accepted;
 }
 
 void execute_entry(cell_state& state, const worker_enlist& enlist,
                    const entry_place&) {
-    state.workers[enlist.worker.id] = enlist.worker;
+    state.workers[enlist.worker.id] = {enlist.worker, enlist.instance};
 }
 
 fold_verdict test_entry(const cell_state& state, const worker_retire& retire,
@@ -106,7 +108,7 @@
     const auto found = state.workers.find(retire.worker);
     if (found == state.workers.end())
         return fold_verdict::repeated;
-    return owns(state, found->second.data_centre, retire.owner, place)
+    return owns(state, found->second.info.data_centre, retire.owner, place)
                ? fold_verdict::accepted
                : fold_verdict::not_owner;
 }
--- a/src/fold/record_codec.hpp
+++ b/src/fold/record_codec.hpp
@@ -38,7 +38,7 @@
                                    operator_name, token)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(centre_claim, data_centre, host, incarnation,
                                    address, base)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(worker_enlist, owner, worker)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(worker_enlist, owner, worker, instance)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(worker_retire, owner, worker)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(job_accept, job, spec)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(job_start, job, owner)
--- a/src/fold/snapshot_codec.cpp
+++ b/src/fold/snapshot_codec.cpp
@@ -15,6 +15,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(quota_slice, amount, want, want_at, serial,
                                    dropped_ms)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(quota_key, team, kind)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(enlisted_worker, info, instance)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(writer_state, incarnation, sequence)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(live_job, spec, accepted_at, accepted_ms,
                                    started, cancelled)
--- a/src/placer/packing_func.cpp
+++ b/src/placer/packing_func.cpp
@@ -42,7 +42,7 @@
 }
 
 bool may_get_work(const worker_view& worker, mono_time now) {
-    if (!worker.listed || worker.leaving || !worker.fenced)
+    if (!worker.listed || worker.leaving || !worker.enlisted)
         return false;
     if (now >= worker.lapsed || now < worker.avoid_until)
         return false;
--- a/src/placer/placer_base.hpp
+++ b/src/placer/placer_base.hpp
@@ -106,6 +106,8 @@
     void take_care(const cell_state& state, mono_time now);
     void adopt_listing(worker_view& worker);
     void resolve_doubts(mono_time now);
+    [[nodiscard]] std::int32_t running_tasks(const job_id& id,
+                                             const job_view& job) const;
     [[nodiscard]] bool takeover_pending() const;
     [[nodiscard]] std::int64_t host_rank(const cell_state& state) const;
 
--- a/src/placer/placer_schedule.cpp
+++ b/src/placer/placer_schedule.cpp
@@ -3,6 +3,7 @@
 #include "placer/placer_base.hpp"
 
 #include <algorithm>
+#include <tuple>
 
 namespace rattan {
 
@@ -194,14 +195,16 @@
         std::int64_t excess = quota_.overspent(state, key);
         if (excess <= 0)
             continue;
-        // The newest restartable work goes first.
-        std::vector<std::pair<std::int64_t, job_id>> candidates;
+        // What has not been started goes first, then the newest of what
+        // may start again.
+        std::vector<std::tuple<bool, std::int64_t, job_id>> candidates;
         for (const auto& [id, job] : jobs_)
-            if (job.spec.team == key.team && job.spec.restartable &&
-                job.goal == job_goal::run && !job.placed.empty())
-                candidates.emplace_back(-job.accepted_at, id);
+            if (job.spec.team == key.team && !job.placed.empty() &&
+                job.goal == job_goal::run &&
+                (job.spec.restartable || !job.started))
+                candidates.emplace_back(job.started, -job.accepted_at, id);
         std::sort(candidates.begin(), candidates.end());
-        for (const auto& [order, id] : candidates) {
+        for (const auto& [started, order, id] : candidates) {
             if (excess <= 0)
                 break;
             job_view& job = jobs_.at(id);
--- a/src/placer/placer_takeover.cpp
+++ b/src/placer/placer_takeover.cpp
@@ -50,11 +50,11 @@
     owned_since_ = now;
     quota_.begin(owner_);
     ++counters_["ownership_begun"];
-    for (const auto& [id, info] : state.workers) {
-        if (info.data_centre != options_.data_centre)
+    for (const auto& [id, enlisted] : state.workers) {
+        if (enlisted.info.data_centre != options_.data_centre)
             continue;
         worker_view& worker = workers_[id];
-        worker.info = info;
+        worker.info = enlisted.info;
         worker.listed = true; // until the platform's list says otherwise
     }
     for (const auto& [id, job] : state.jobs)
@@ -123,7 +123,8 @@
     }
     if (now > care_until_)
         return;
-    for (const auto& [id, info] : state.workers) {
+    for (const auto& [id, enlisted] : state.workers) {
+        const worker_info& info = enlisted.info;
         if (info.data_centre != options_.data_centre)
             continue;
         worker_view& worker = cared_[id];
@@ -185,6 +186,18 @@
                        [](const auto& entry) { return !entry.second.cleared; });
 }
 
+std::int32_t placer_base::running_tasks(const job_id& id,
+                                        const job_view& job) const {
+    std::int32_t count = 0;
+    for (const auto& [index, worker] : job.placed) {
+        const auto& tasks = workers_.at(worker).tasks;
+        const auto task = tasks.find({id, index});
+        if (task != tasks.end() && task->second.phase == task_phase::running)
+            ++count;
+    }
+    return count;
+}
+
 void placer_base::resolve_doubts(mono_time now) {
     if (takeover_pending())
         return;
@@ -195,9 +208,9 @@
         unsettled_.insert(id);
         if (job.goal == job_goal::end)
             continue;
-        const auto found =
-            static_cast<std::int32_t>(job.placed.size() + job.done.size());
-        if (found == job.spec.tasks)
+        if (running_tasks(id, job) +
+                static_cast<std::int32_t>(job.done.size()) ==
+            job.spec.tasks)
             continue;
         if (!job.spec.restartable) {
             pursue(job, job_goal::end, job_outcome::unknown,
--- a/src/placer/placer_type.hpp
+++ b/src/placer/placer_type.hpp
@@ -61,6 +61,7 @@
     bool was_listed = false;   ///< On it at some time under this owner.
     bool leaving = false;      ///< Gets no new work.
     bool fenced = false;       ///< Has obeyed this owner.
+    bool enlisted = false;     ///< This process of it may get work, by the log.
     bool cleared = false;      ///< Provably runs nothing of an earlier owner.
     bool in_flight = false;    ///< An order waits for its answer.
     bool unclear = false;      ///< The last order was not answered.
--- a/src/placer/placer_worker.cpp
+++ b/src/placer/placer_worker.cpp
@@ -65,16 +65,22 @@
         const auto enlisted = state.workers.find(id);
         if (enlisted == state.workers.end()) {
             outbox_.offer("enlist/" + id.value,
-                          worker_enlist{owner_, worker->info}, now);
+                          worker_enlist{owner_, worker->info, 0}, now);
             continue;
         }
         worker_view& view = workers_[id];
         if (view.info.id.empty()) {
-            view.info = enlisted->second;
+            view.info = enlisted->second.info;
             view.cleared = true; // enlisted by this owner: nothing older
         }
     }
     for (auto& [id, view] : workers_) {
+        const auto enlisted = state.workers.find(id);
+        view.enlisted = view.fenced && enlisted != state.workers.end() &&
+                        enlisted->second.instance == view.instance;
+        if (view.fenced && !view.enlisted)
+            outbox_.offer("enlist/" + id.value,
+                          worker_enlist{owner_, view.info, view.instance}, now);
         const auto found = listed.find(id);
         // The same name at another address is another machine.
         view.listed = found != listed.end() && found->second->info == view.info;
@@ -251,6 +257,12 @@
         } else if (event.outcome == task_outcome::done) {
             worker.failures = 0;
         }
+        // Told again after a takeover, of an earlier stay on this worker.
+        const bool is_back = std::any_of(
+            worker.listing.begin(), worker.listing.end(),
+            [&](const listed_task& each) { return each.task == event.task; });
+        if (is_back)
+            continue;
         const bool held = worker.tasks.contains(event.task);
         remove_task(worker, event.task);
         if (held || job != jobs_.end())
--- a/tests/cell_world.cpp
+++ b/tests/cell_world.cpp
@@ -287,7 +287,12 @@
     if (used > allowed_cores_ && broken_.empty())
         broken_ = "team runs " + std::to_string(used) + " cores of " +
                   std::to_string(allowed_cores_);
-    // What ran when the limit was lowered may end, and not come back.
+    // Until every placer could read a lower limit its old slice stands;
+    // what ran then may end, and not come back.
+    if (limit_pending_) {
+        allowed_cores_ = std::max(allowed_cores_, limit_cores_);
+        return;
+    }
     allowed_cores_ = std::max(limit_cores_, std::min(allowed_cores_, used));
 }
 
@@ -303,6 +308,12 @@
         step_placer(index);
         watch_limits();
     }
+    const bool all_read = std::none_of(
+        placers_.begin(), placers_.end(), [&](const placer_process& each) {
+            return outage_ || each.log_cut || each.paused;
+        });
+    if (all_read)
+        limit_pending_ = false;
     for (const data_centre_id& centre : std::exchange(out_pending_, {})) {
         // The promise is for processes that could learn of it.
         const bool could_read = std::none_of(
@@ -432,9 +443,7 @@
         if (outage_)
             return;
         limit_cores_ = 4 + 4 * (happens.which % 4);
-        allowed_cores_ =
-            std::max({allowed_cores_, limit_cores_,
-                      audit_.in_use[TEAM].milli_cores / MILLI_CORES});
+        limit_pending_ = true;
         return publish(
             {{"teams",
               {{"team",
@@ -516,7 +525,7 @@
     for (auto& [name, entry] : centres.items())
         entry["in_service"] = true;
     limit_cores_ = 16;
-    allowed_cores_ = std::max<std::int64_t>(allowed_cores_, 16);
+    limit_pending_ = true;
     publish(
         {{"data_centres", centres},
          {"teams", {{"team", {{"limits", {{"cores", 16}, {"checks", 1}}}}}}}});
--- a/tests/cell_world.hpp
+++ b/tests/cell_world.hpp
@@ -150,6 +150,7 @@
     int delay_orders_ = 0;
     std::uint64_t next_process_ = 1;
     std::int64_t limit_cores_ = 12;
+    bool limit_pending_ = false; ///< Not readable by all placers yet.
     /** Running work above a lowered limit may only fall. */
     std::int64_t allowed_cores_ = 12;
     std::set<data_centre_id> out_pending_; ///< Not readable by all yet.
