--- /dev/null
+++ b/fuzz/config_fuzz.cpp
@@ -0,0 +1,18 @@
+/** @file Feeds arbitrary bytes to the check of declarations. */
+#include "fold/config_codec.hpp"
+#include "rattan/error_type.hpp"
+
+#include <cstdint>
+#include <string>
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, size_t size) {
+    const std::string text(reinterpret_cast<const char*>(data), size);
+    try {
+        const auto document = nlohmann::json::parse(text, nullptr, false);
+        if (!document.is_discarded())
+            rattan::parse_declarations(document);
+    } catch (const rattan::config_invalid&) {
+        return 0; // refused with a typed error, as it should be
+    }
+    return 0;
+}
--- /dev/null
+++ b/fuzz/snapshot_fuzz.cpp
@@ -0,0 +1,16 @@
+/** @file Feeds arbitrary bytes to the decoder of snapshots. */
+#include "fold/snapshot_codec.hpp"
+#include "rattan/error_type.hpp"
+
+#include <cstdint>
+#include <string>
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, size_t size) {
+    const std::string text(reinterpret_cast<const char*>(data), size);
+    try {
+        rattan::decode_snapshot(text);
+    } catch (const rattan::decode_error&) {
+        return 0; // refused with a typed error, as it should be
+    }
+    return 0;
+}
--- a/src/gate/gate_service.cpp
+++ b/src/gate/gate_service.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr millis TICK_PERIOD{20};
+constexpr millis QUOTA_LOOK_PERIOD{200}; ///< When nothing waits for it.
 constexpr millis LEAVE_POLL{50};
 /** No request for this long: the balancer has taken this gate out. */
 constexpr millis LEAVE_QUIET{1'000};
@@ -112,11 +113,16 @@
 }
 
 void gate_service::tick() {
-    expire_checks();
-    expire_jobs();
-    pump_checks();
-    if (!feed_.started() || !settled_)
+    if (queue_.size() > 0) {
+        expire_checks();
+        pump_checks();
+    }
+    if (!waiting_jobs_.empty())
+        expire_jobs();
+    const mono_time now = event_loop::now();
+    if (!feed_.started() || !settled_ || now < next_quota_look_)
         return;
+    next_quota_look_ = now + QUOTA_LOOK_PERIOD;
     ask_for_quota();
     primed_ = primed_ || quota_.settled();
 }
--- a/src/gate/gate_service.hpp
+++ b/src/gate/gate_service.hpp
@@ -154,6 +154,7 @@
     bool settled_ = false; ///< No append of an earlier process is open.
     bool primed_ = false;  ///< Has had its idle slices granted.
     bool leaving_ = false;
+    mono_time next_quota_look_{};
     mono_time last_request_{};
     size_t next_gate_ = 0;
 };
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -3,7 +3,7 @@
 #include "rattan/error_type.hpp"
 
 #include <ace/Dev_Poll_Reactor.h>
-#include <ace/Event_Handler.h>
+#include <algorithm>
 #include <csignal>
 
 namespace rattan {
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr size_t MAX_HANDLES = 8192;
+constexpr std::int64_t MICROS_A_MILLI = 1'000;
 constexpr millis LONGEST_WAIT{50}; ///< Bounds how late a signal is seen.
 
 volatile std::sig_atomic_t leave_signals = 0;
@@ -18,31 +19,6 @@
 
 } // namespace
 
-/** One pending timer; a single call deletes itself when it is done. */
-class event_loop::timer_handler : public ACE_Event_Handler {
-public:
-    timer_handler(event_loop& loop, callback call, long id)
-        : loop_(loop), call_(std::move(call)), id_(id) {}
-
-    int handle_timeout(const ACE_Time_Value&, const void*) override {
-        if (id_ == 0) {
-            call_();
-            return 0;
-        }
-        loop_.timers_.erase(id_);
-        call_();
-        delete this;
-        return 0;
-    }
-
-    long reactor_id = -1; ///< For cancelling it.
-
-private:
-    event_loop& loop_;
-    callback call_;
-    long id_; ///< 0 when it repeats.
-};
-
 event_loop::event_loop()
     : reactor_(std::make_unique<ACE_Reactor>(
           new ACE_Dev_Poll_Reactor(MAX_HANDLES, true), true)) {
@@ -63,37 +39,48 @@
 }
 
 long event_loop::after(millis delay, callback call) {
-    const long id = next_timer_++;
-    auto* handler = new timer_handler(*this, std::move(call), id);
-    ACE_Time_Value wait;
-    wait.set(static_cast<double>(delay.count()) / 1000.0);
-    handler->reactor_id = reactor_->schedule_timer(handler, nullptr, wait);
-    if (handler->reactor_id < 0) {
-        delete handler;
-        throw system_error("no timer can be scheduled");
-    }
-    timers_[id] = handler;
-    return id;
+    // Not ACE's timers: its epoll reactor rounds their wait down to whole
+    // milliseconds and spins through the rest.
+    const timer_key key{now_micros() + delay.count() * MICROS_A_MILLI,
+                        next_timer_++};
+    timers_[key] = std::move(call);
+    timer_keys_[key.id] = key;
+    return key.id;
 }
 
 void event_loop::every(millis period, callback call) {
-    auto* handler = new timer_handler(*this, std::move(call), 0);
-    ACE_Time_Value wait;
-    wait.set(static_cast<double>(period.count()) / 1000.0);
-    if (reactor_->schedule_timer(handler, nullptr, wait, wait) < 0) {
-        delete handler;
-        throw system_error("no timer can be scheduled");
-    }
+    after(period, [this, period, call = std::move(call)]() mutable {
+        call();
+        every(period, std::move(call));
+    });
 }
 
 void event_loop::cancel(long timer) {
-    const auto found = timers_.find(timer);
-    if (found == timers_.end())
+    const auto found = timer_keys_.find(timer);
+    if (found == timer_keys_.end())
         return;
-    timer_handler* handler = found->second;
-    timers_.erase(found);
-    reactor_->cancel_timer(handler->reactor_id);
-    delete handler;
+    timers_.erase(found->second);
+    timer_keys_.erase(found);
+}
+
+void event_loop::run_timers() {
+    const std::int64_t now = now_micros();
+    while (!timers_.empty() && timers_.begin()->first.due_micros <= now) {
+        const callback call = std::move(timers_.begin()->second);
+        timer_keys_.erase(timers_.begin()->first.id);
+        timers_.erase(timers_.begin());
+        call();
+    }
+}
+
+std::int64_t event_loop::wait_ms() const {
+    if (!deferred_.empty())
+        return 0;
+    if (timers_.empty())
+        return LONGEST_WAIT.count();
+    const std::int64_t left = timers_.begin()->first.due_micros - now_micros();
+    return std::clamp<std::int64_t>(
+        (left + MICROS_A_MILLI - 1) / MICROS_A_MILLI, 0, LONGEST_WAIT.count());
 }
 
 void event_loop::on_signals(callback leave, callback dump) {
@@ -116,10 +103,10 @@
 
 void event_loop::run() {
     while (!stopped_) {
-        ACE_Time_Value wait;
-        if (deferred_.empty())
-            wait.set(static_cast<double>(LONGEST_WAIT.count()) / 1000.0);
+        ACE_Time_Value wait(
+            0, static_cast<suseconds_t>(wait_ms() * MICROS_A_MILLI));
         reactor_->handle_events(&wait);
+        run_timers();
         run_deferred();
         if (leave_signals > 0 && leave_) {
             leave_signals = 0;
--- a/src/net/event_loop.hpp
+++ b/src/net/event_loop.hpp
@@ -53,13 +53,24 @@
     void on_signals(callback leave, callback dump);
 
 private:
-    class timer_handler;
+    /** A call that is due at a time; the id tells equal times apart. */
+    struct timer_key {
+        std::int64_t due_micros = 0;
+        long id = 0;
+
+        auto operator<=>(const timer_key&) const = default;
+    };
 
     /** Calls what was deferred up to now. */
     void run_deferred();
+    /** Calls the timers that are due. */
+    void run_timers();
+    /** Milliseconds until the next timer, rounded up. */
+    [[nodiscard]] std::int64_t wait_ms() const;
 
     std::unique_ptr<ACE_Reactor> reactor_;
-    std::map<long, timer_handler*> timers_; ///< Pending calls of `after`.
+    std::map<timer_key, callback> timers_;
+    std::map<long, timer_key> timer_keys_; ///< For cancelling.
     long next_timer_ = 1;
     std::deque<callback> deferred_;
     callback leave_;
