Split the worker file, share main functions and state reports

Cause: read as a newcomer, placer_worker.cpp held two jobs in 428 lines (leases, orders), three main functions and two state reports stood nearly word for word, and SIGUSR1 did nothing although the help promised a dump.

Change: placer_lease.cpp and placer_order.cpp; run_service; feed_state_json; SIGUSR1 writes the state dump as one log line. No decision changed.

--- a/src/gate/gate_main.cpp
+++ b/src/gate/gate_main.cpp
@@ -39,13 +39,6 @@
 } // namespace
 
 int main(int argc, char** argv) {
-    return rattan::run_program(
-        argc, argv,
-        {.name = "rattan_gate",
-         .run = [](rattan::event_loop& loop, rattan::settings_reader& reader) {
-             rattan::gate_service service(loop, read_settings(reader));
-             loop.on_signals([&] { service.leave(); }, [] {});
-             service.start();
-             loop.run();
-         }});
+    return rattan::run_service<rattan::gate_service>(argc, argv, "rattan_gate",
+                                                     read_settings);
 }
--- a/src/gate/gate_service.cpp
+++ b/src/gate/gate_service.cpp
@@ -210,18 +210,14 @@
     return true;
 }
 
+void gate_service::log_dump() const {
+    log_state_dump(dump());
+}
+
 json gate_service::state_json() const {
-    const mono_time now = event_loop::now();
-    const config_state& config = feed_.state().config;
-    return {{"program", "gate"},
-            {"host", settings_.process.host.value},
-            {"data_centre", settings_.process.data_centre.value},
-            {"version", config.version.value},
-            {"accepted_ms", config.accepted_ms},
-            {"next_offset", feed_.state().next_offset},
-            {"current_age_ms", (now - feed_.fresh().current).count()},
-            {"log_reachable", feed_.fresh().log_reachable},
-            {"ready", is_ready()}};
+    json state = feed_state_json(feed_, settings_.process, "gate");
+    state["ready"] = is_ready();
+    return state;
 }
 
 json gate_service::dump() const {
--- a/src/gate/gate_service.hpp
+++ b/src/gate/gate_service.hpp
@@ -47,6 +47,9 @@
     /** Turns not ready, serves what still comes, then ends the loop. */
     void leave();
 
+    /** Writes everything known into the log. */
+    void log_dump() const;
+
 private:
     using http_answer_fn = http_server::responder;
     using result_fn = std::function<void(const check_result&)>;
--- a/src/net/process_frame.cpp
+++ b/src/net/process_frame.cpp
@@ -34,6 +34,10 @@
     return settings;
 }
 
+void log_state_dump(const nlohmann::json& dump) {
+    log_event(log_level::info, "state_dump", {{"state", dump.dump()}});
+}
+
 bool answer_admin(const http_request& request, metrics_registry& metrics,
                   const admin_callbacks& callbacks,
                   const http_server::responder& answer) {
--- a/src/net/process_frame.hpp
+++ b/src/net/process_frame.hpp
@@ -28,6 +28,9 @@
 /** Reads them; fields of the program itself are read by the caller. */
 process_settings read_process_settings(settings_reader& reader);
 
+/** Writes a state dump into the log, as one line. */
+void log_state_dump(const nlohmann::json& dump);
+
 /** What a program shows on its admin paths. */
 struct admin_callbacks {
     std::function<bool()> is_ready;
@@ -55,6 +58,25 @@
  */
 int run_program(int argc, char** argv, const program_options& options);
 
+/**
+ * The main function of a program that is one service: reads its settings,
+ * starts it, and lets it leave on SIGTERM.
+ */
+template <typename Service, typename Settings>
+int run_service(int argc, char** argv, const std::string& name,
+                Settings (*read_settings)(settings_reader&)) {
+    return run_program(
+        argc, argv,
+        {.name = name,
+         .run = [read_settings](event_loop& loop, settings_reader& reader) {
+             Service service(loop, read_settings(reader));
+             loop.on_signals([&] { service.leave(); },
+                             [&] { service.log_dump(); });
+             service.start();
+             loop.run();
+         }});
+}
+
 /** Unix time in milliseconds, for ids and answers to people. */
 std::int64_t wall_millis();
 
--- a/src/net/stream_feed.cpp
+++ b/src/net/stream_feed.cpp
@@ -138,4 +138,20 @@
            [done](const rpc_answer& answer) { done(answer.ok()); });
 }
 
+nlohmann::json feed_state_json(const stream_feed& feed,
+                               const process_settings& process,
+                               const std::string& program) {
+    const config_state& config = feed.state().config;
+    const millis age = std::chrono::duration_cast<millis>(event_loop::now() -
+                                                          feed.fresh().current);
+    return {{"program", program},
+            {"host", process.host.value},
+            {"data_centre", process.data_centre.value},
+            {"version", config.version.value},
+            {"accepted_ms", config.accepted_ms},
+            {"next_offset", feed.state().next_offset},
+            {"current_age_ms", age.count()},
+            {"log_reachable", feed.fresh().log_reachable}};
+}
+
 } // namespace rattan
--- a/src/net/stream_feed.hpp
+++ b/src/net/stream_feed.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "fold/fold_base.hpp"
+#include "net/process_frame.hpp"
 #include "net/rpc_client.hpp"
 #include "rattan/worker_type.hpp"
 #include "stream/freshness_type.hpp"
@@ -70,4 +71,9 @@
     bool started_ = false;
 };
 
+/** What a program that follows a feed says of its state. */
+nlohmann::json feed_state_json(const stream_feed& feed,
+                               const process_settings& process,
+                               const std::string& program);
+
 } // namespace rattan
--- a/src/placer/placer_base.hpp
+++ b/src/placer/placer_base.hpp
@@ -111,15 +111,20 @@
     [[nodiscard]] bool takeover_pending() const;
     [[nodiscard]] std::int64_t host_rank(const cell_state& state) const;
 
-    // placer_worker.cpp: leases, orders and answers.
+    // placer_lease.cpp: which workers there are, when their leases ended.
     void follow_hosts(const cell_state& state, mono_time now);
+    void drop_lapsed(const cell_state& state, mono_time now);
+    bool drop_unheard(const cell_state& state, worker_view& worker,
+                      mono_time now);
+    [[nodiscard]] bool peers_quiet_since(const cell_state& state,
+                                         mono_time since, mono_time now) const;
+    [[nodiscard]] millis lease_bound() const;
+
+    // placer_order.cpp: orders and answers.
     void forget_process(worker_view& worker, mono_time now);
     void reconcile(worker_view& worker, mono_time now);
     void take_events(worker_view& worker, const std::vector<task_event>& events,
                      mono_time now);
-    void drop_lapsed(const cell_state& state, mono_time now);
-    bool drop_unheard(const cell_state& state, worker_view& worker,
-                      mono_time now);
     [[nodiscard]] millis poll_period(const worker_view& worker,
                                      mono_time now) const;
     void build_orders(mono_time now);
@@ -130,9 +135,6 @@
                   const placed_task& placed);
     void remove_task(worker_view& worker, const task_ref& task);
     void forget_events(const job_id& job);
-    [[nodiscard]] bool peers_quiet_since(const cell_state& state,
-                                         mono_time since, mono_time now) const;
-    [[nodiscard]] millis lease_bound() const;
 
     // placer_job.cpp: the life of a job.
     void add_job(const job_id& id, const live_job& job, mono_time now);
--- a/src/placer/placer_main.cpp
+++ b/src/placer/placer_main.cpp
@@ -35,13 +35,6 @@
 } // namespace
 
 int main(int argc, char** argv) {
-    return rattan::run_program(
-        argc, argv,
-        {.name = "rattan_placer",
-         .run = [](rattan::event_loop& loop, rattan::settings_reader& reader) {
-             rattan::placer_service service(loop, read_settings(reader));
-             loop.on_signals([&] { service.leave(); }, [] {});
-             service.start();
-             loop.run();
-         }});
+    return rattan::run_service<rattan::placer_service>(
+        argc, argv, "rattan_placer", read_settings);
 }
--- a/src/placer/placer_service.cpp
+++ b/src/placer/placer_service.cpp
@@ -181,12 +181,7 @@
     const bool handled = answer_admin(
         request, metrics_,
         {.is_ready = [this] { return feed_.started() && !leaving_; },
-         .dump =
-             [this] {
-                 auto dump = placer_.dump(event_loop::now());
-                 dump["state"] = state_json();
-                 return dump;
-             },
+         .dump = [this] { return dump(); },
          .state = [this] { return state_json(); }},
         answer);
     if (!handled)
@@ -195,19 +190,21 @@
                              .detail = request.method + " " + request.path}));
 }
 
+nlohmann::json placer_service::dump() const {
+    nlohmann::json dump = placer_.dump(event_loop::now());
+    dump["state"] = state_json();
+    return dump;
+}
+
+void placer_service::log_dump() const {
+    log_state_dump(dump());
+}
+
 nlohmann::json placer_service::state_json() const {
-    const mono_time now = event_loop::now();
-    const config_state& config = feed_.state().config;
-    return {{"program", "placer"},
-            {"host", settings_.process.host.value},
-            {"data_centre", settings_.process.data_centre.value},
-            {"version", config.version.value},
-            {"accepted_ms", config.accepted_ms},
-            {"next_offset", feed_.state().next_offset},
-            {"current_age_ms", (now - feed_.fresh().current).count()},
-            {"log_reachable", feed_.fresh().log_reachable},
-            {"owner", placer_.owner().value},
-            {"ready", feed_.started() && !leaving_}};
+    nlohmann::json state = feed_state_json(feed_, settings_.process, "placer");
+    state["owner"] = placer_.owner().value;
+    state["ready"] = feed_.started() && !leaving_;
+    return state;
 }
 
 } // namespace rattan
--- a/src/placer/placer_service.hpp
+++ b/src/placer/placer_service.hpp
@@ -34,6 +34,9 @@
     /** Ends the loop; a peer takes over what this placer owned. */
     void leave();
 
+    /** Writes everything known into the log. */
+    void log_dump() const;
+
 private:
     /** Runs a tick soon, once. */
     void wake();
@@ -44,6 +47,7 @@
     void on_http(const http_request& request,
                  const http_server::responder& answer);
     [[nodiscard]] nlohmann::json state_json() const;
+    [[nodiscard]] nlohmann::json dump() const;
 
     event_loop& loop_;
     placer_settings settings_;
--- a/src/relay/relay_main.cpp
+++ b/src/relay/relay_main.cpp
@@ -22,13 +22,6 @@
 } // namespace
 
 int main(int argc, char** argv) {
-    return rattan::run_program(
-        argc, argv,
-        {.name = "rattan_relay",
-         .run = [](rattan::event_loop& loop, rattan::settings_reader& reader) {
-             rattan::relay_service service(loop, read_settings(reader));
-             loop.on_signals([&] { service.leave(); }, [] {});
-             service.start();
-             loop.run();
-         }});
+    return rattan::run_service<rattan::relay_service>(
+        argc, argv, "rattan_relay", read_settings);
 }
--- a/src/relay/relay_serve_service.cpp
+++ b/src/relay/relay_serve_service.cpp
@@ -317,6 +317,10 @@
             {"ready", serving_ && !leaving_}};
 }
 
+void relay_service::log_dump() const {
+    log_state_dump(dump());
+}
+
 json relay_service::dump() const {
     json owners = json::object();
     for (const auto& [centre, owner] : fold_.state().owners)
--- a/src/relay/relay_service.hpp
+++ b/src/relay/relay_service.hpp
@@ -30,6 +30,9 @@
     /** Stops taking appends; ends the loop when the rest is decided. */
     void leave();
 
+    /** Writes everything known into the log. */
+    void log_dump() const;
+
 private:
     /** A call of `READ` that waits for records. */
     struct waiting_read {
--- a/tests/control_cost_test.cpp
+++ b/tests/control_cost_test.cpp
@@ -36,14 +36,12 @@
             .set = {{"data_centres", {{"c0", {{"entry_hosts", {"h0"}}}}}},
                     {"teams",
                      {{"team",
-                       {{"limits",
-                         {{"cores", 100'000}, {"checks", 1}}}}}}},
+                       {{"limits", {{"cores", 100'000}, {"checks", 1}}}}}}},
                     {"keys",
                      {{"key",
                        {{"team", "team"}, {"salt", "0"}, {"hash", "0"}}}}},
                     {"plans",
-                     {{"plan",
-                       {{"teams", {"team"}}, {"max_tasks", 1'000}}}}}},
+                     {{"plan", {{"teams", {"team"}}, {"max_tasks", 1'000}}}}}},
             .drop = json::object(),
             .operator_name = "ops",
             .token = "t"});
@@ -59,8 +57,7 @@
             hosts.workers.push_back({info, host_state::live});
             workers_.emplace(
                 info.id, standin::worker_model(
-                             {.owned = info.owned, .instance = 1 + i},
-                             audit_));
+                             {.owned = info.owned, .instance = 1 + i}, audit_));
         }
         placer_.on_hosts(hosts);
     }
@@ -76,8 +73,7 @@
                            .request = request,
                            .kind = kind,
                            .tasks = tasks,
-                           .shape = {.milli_cores = 1'000,
-                                     .memory_mib = 100},
+                           .shape = {.milli_cores = 1'000, .memory_mib = 100},
                            .run_ms = run_ms,
                            .restartable = restartable,
                            .data_centre = {"c0"}}});
@@ -96,8 +92,7 @@
                     workers_.at(out.worker).obey(out.order, time_ms_);
                 ++orders;
                 bytes += static_cast<std::int64_t>(
-                    json(out.order).dump().size() +
-                    json(answer).dump().size());
+                    json(out.order).dump().size() + json(answer).dump().size());
                 placer_.on_answer(out.worker, out.order.owner,
                                   out.order.sequence, answer, now());
             }
@@ -142,8 +137,7 @@
     for (int i = 0; i < WORKERS; ++i)
         world.submit(work_kind::watch, TASKS_A_WORKER, 0, true);
     world.run(10'000);
-    ASSERT_EQ(world.running(),
-              static_cast<size_t>(WORKERS) * TASKS_A_WORKER);
+    ASSERT_EQ(world.running(), static_cast<size_t>(WORKERS) * TASKS_A_WORKER);
     world.orders = world.bytes = world.records = 0;
     world.run(60'000);
     EXPECT_LE(world.bytes / 60, WORKERS * NODE_BYTES_A_SECOND);
