Let callers send earlier jobs again in the random histories

Cause: a planted fault (a job that has ended is accepted again) was not found in 1,500 histories, since the world repeated a job only while it was live.

Change: one more event, a caller's repeat of any earlier job.

--- a/tests/cell_world.cpp
+++ b/tests/cell_world.cpp
@@ -372,7 +372,7 @@
     append_outside({job_accept{id, spec}});
     // The caller repeats it: the same id must not run again.
     append_outside({job_accept{id, spec}});
-    submitted_.push_back({id, once});
+    submitted_.push_back({id, spec, once});
 }
 
 void cell_world::apply(const event& happens) {
@@ -391,6 +391,12 @@
             append_outside(
                 {job_cancel{submitted_[which % submitted_.size()].id, TEAM}});
         return;
+    case deed::repeat_job:
+        if (!submitted_.empty() && !outage_) {
+            const submitted_job& job = submitted_[which % submitted_.size()];
+            append_outside({job_accept{job.id, job.spec}});
+        }
+        return;
     case deed::kill:
         return start_process(process);
     case deed::pause:
--- a/tests/cell_world.hpp
+++ b/tests/cell_world.hpp
@@ -35,7 +35,8 @@
     delay_orders,  ///< The next orders arrive late, out of order.
     limit,         ///< The team's limit becomes one of a few.
     centre,        ///< A data centre goes out of service, or back.
-    race           ///< Two operators publish from one base.
+    race,          ///< Two operators publish from one base.
+    repeat_job     ///< A caller sends the job with number `which` again.
 };
 
 /** One thing that happens. */
@@ -111,6 +112,7 @@
     };
     struct submitted_job {
         job_id id;
+        job_spec spec;
         bool once = false;
     };
 
--- a/tests/cell_world_test.cpp
+++ b/tests/cell_world_test.cpp
@@ -22,25 +22,17 @@
 /** Mostly time and work, every fault now and then. */
 rc::Gen<event> arbitrary_event() {
     using rc::gen::element;
-    const auto what = rc::gen::weightedElement<deed>({{12, deed::pass_time},
-                                                      {8, deed::submit},
-                                                      {2, deed::cancel},
-                                                      {2, deed::kill},
-                                                      {2, deed::pause},
-                                                      {3, deed::resume},
-                                                      {2, deed::cut_log},
-                                                      {2, deed::cut_worker},
-                                                      {1, deed::cut_peers},
-                                                      {1, deed::outage},
-                                                      {1, deed::repeat_group},
-                                                      {1, deed::old_group},
-                                                      {2, deed::worker_dies},
-                                                      {1, deed::worker_leaves},
-                                                      {2, deed::lose_answers},
-                                                      {2, deed::delay_orders},
-                                                      {1, deed::limit},
-                                                      {1, deed::centre},
-                                                      {1, deed::race}});
+    const auto what = rc::gen::weightedElement<deed>(
+        {{12, deed::pass_time},   {8, deed::submit},
+         {2, deed::cancel},       {2, deed::kill},
+         {2, deed::pause},        {3, deed::resume},
+         {2, deed::cut_log},      {2, deed::cut_worker},
+         {1, deed::cut_peers},    {1, deed::outage},
+         {1, deed::repeat_group}, {1, deed::old_group},
+         {2, deed::worker_dies},  {1, deed::worker_leaves},
+         {2, deed::lose_answers}, {2, deed::delay_orders},
+         {1, deed::limit},        {1, deed::centre},
+         {1, deed::race},         {2, deed::repeat_job}});
     return rc::gen::build<event>(
         rc::gen::set(&event::what, what),
         rc::gen::set(&event::which, rc::gen::inRange(0, 60)),
