--- a/proto/rattan.thrift
+++ b/proto/rattan.thrift
@@ -10,7 +10,12 @@
     APPEND = 3,    // relay: entries to be appended to the log
     JOB_STATUS = 4,// placer: one job, live
     CHECK = 5,     // gate: a check sent on to the home of its request id
-    PING = 6       // placer: is the owner alive, and of which epoch
+    PING = 6,      // placer: is the owner alive, and of which epoch
+    BEAT = 7,      // entry host: is the owner alive and does it reach the store
+    JOB_STATE = 8, // owner: state of one job, for a caller
+    WAITING = 9,   // owner: how many jobs of a queue wait
+    ADVISE = 10,   // entry host: ask the advice service on the owner's behalf
+    STORE = 11     // entry host: append a record that the sender can't append
 }
 
 enum status {
@@ -96,3 +101,53 @@
 struct ping_reply {
     1: required i64 epoch
 }
+
+struct beat_request {
+    1: required string host
+}
+
+struct beat_reply {
+    1: required i64 epoch,          // highest ownership epoch seen
+    2: required string owner,       // its holder
+    3: required string owner_address,
+    4: required i32 store_age_ms,   // since the store last answered
+    5: required i32 owner_age_ms    // since the owner was last heard
+}
+
+struct job_state_request {
+    1: required string job,
+    2: required string organisation
+}
+
+struct job_state_reply {
+    1: required i32 state  // dispatch::job_state
+}
+
+struct waiting_request {
+    1: required string queue
+}
+
+struct waiting_reply {
+    1: required i64 jobs
+}
+
+struct advise_request {
+    1: required string step,
+    2: required list<string> targets,
+    3: required i32 timeout_ms
+}
+
+struct advised_target {
+    1: required string target,
+    2: required string ticket
+}
+
+struct advise_reply {
+    1: required list<advised_target> targets,
+    2: required i32 valid_ms
+}
+
+struct store_request {
+    1: required string key,
+    2: required binary value
+}
--- a/src/base/log_func.cpp
+++ b/src/base/log_func.cpp
@@ -40,7 +40,7 @@
 
 void log_open(const log_options& options) {
     open_options = options;
-    boost::log::add_console_log(std::clog,
+    boost::log::add_console_log(std::cout,
                                 boost::log::keywords::format =
                                     boost::log::expressions::stream
                                     << boost::log::expressions::smessage,
--- /dev/null
+++ b/src/dispatch/job_book.cpp
@@ -0,0 +1,249 @@
+#include "dispatch/job_book.hpp"
+
+#include <algorithm>
+#include <cassert>
+#include <limits>
+#include <utility>
+
+namespace rattan::dispatch {
+
+namespace {
+
+/** Tells whether all steps that a step waits for are done. */
+bool predecessors_done(const job_spec& spec, const repeat_entry& repeat,
+                       size_t step) {
+    return std::all_of(spec.steps[step].after.begin(),
+                       spec.steps[step].after.end(), [&](int earlier) {
+                           const auto& e =
+                               repeat.steps[static_cast<size_t>(earlier)];
+                           return e.done ==
+                                  static_cast<std::int32_t>(e.tasks.size());
+                       });
+}
+
+} // namespace
+
+millis longest_chain(const job_spec& spec) {
+    std::vector<millis> until(spec.steps.size(), millis(0));
+    millis longest{0};
+    for (size_t i = 0; i < spec.steps.size(); ++i) {
+        millis start{0};
+        for (const int earlier : spec.steps[i].after)
+            start = std::max(start, until[static_cast<size_t>(earlier)]);
+        until[i] = start + spec.steps[i].estimate;
+        longest = std::max(longest, until[i]);
+    }
+    return longest;
+}
+
+bool job_book::accept(job_record record) {
+    const auto [found, added] = jobs_.try_emplace(record.id);
+    if (!added)
+        return false;
+    found->second.record = std::move(record);
+    return true;
+}
+
+std::int64_t job_book::next_due_ms(const job_entry& job) {
+    const job_spec& spec = job.record.spec;
+    if (job.ended() || job.next_repeat >= std::max(1, spec.repeats))
+        return std::numeric_limits<std::int64_t>::max();
+    if (spec.repeats == 0)
+        return 0;
+    return spec.first_due_ms + job.next_repeat * spec.interval.count();
+}
+
+bool job_book::open_due(job_entry& job, std::int64_t wall_ms, mono_time now) {
+    bool opened = false;
+    while (next_due_ms(job) <= wall_ms) {
+        repeat_entry& repeat = job.repeats[job.next_repeat++];
+        for (const step_spec& spec : job.record.spec.steps) {
+            step_entry step;
+            step.tasks.resize(static_cast<size_t>(spec.count));
+            step.waiting = spec.count;
+            repeat.steps.push_back(std::move(step));
+        }
+        open_steps(job, repeat, now);
+        opened = true;
+    }
+    return opened;
+}
+
+void job_book::open_steps(job_entry& job, repeat_entry& repeat, mono_time now) {
+    for (size_t i = 0; i < repeat.steps.size(); ++i) {
+        step_entry& step = repeat.steps[i];
+        if (step.open || !predecessors_done(job.record.spec, repeat, i))
+            continue;
+        step.open = true;
+        step.opened = now;
+    }
+}
+
+void job_book::place(const task_id& id, std::int32_t run,
+                     const target_entry& on) {
+    task_entry* task = find(id);
+    step_entry* step = find(id.step);
+    assert(task != nullptr && task->phase == task_phase::waiting);
+    assert(run > task->run);
+    --step->waiting;
+    task->phase = task_phase::placed;
+    task->run = run;
+    task->target = on.id;
+    task->born = on.born;
+    job_entry* job = find(id.step.job);
+    if (job->state == job_state::pending)
+        job->state = job_state::running;
+    touch(id.step.job);
+}
+
+void job_book::release(const task_id& id) {
+    task_entry* task = find(id);
+    if (task == nullptr || task->phase == task_phase::waiting ||
+        task->phase == task_phase::done)
+        return;
+    task->phase = task_phase::waiting;
+    task->target = {};
+    task->born = 0;
+    ++find(id.step)->waiting;
+    touch(id.step.job);
+}
+
+void job_book::complete(const task_id& id, std::int64_t wall_ms,
+                        mono_time now) {
+    job_entry* job = find(id.step.job);
+    step_entry* step = find(id.step);
+    if (job == nullptr || step == nullptr)
+        return;
+    const bool gang = spec(id.step)->gang;
+    for (size_t i = 0; i < step->tasks.size(); ++i) {
+        task_entry& task = step->tasks[i];
+        if ((!gang && static_cast<std::int32_t>(i) != id.index) ||
+            task.phase == task_phase::done)
+            continue;
+        if (task.phase == task_phase::waiting)
+            --step->waiting;
+        task.phase = task_phase::done;
+        task.target = {};
+        ++step->done;
+    }
+    touch(id.step.job);
+    if (step->done == static_cast<std::int32_t>(step->tasks.size()))
+        finish_step(*job, id.step, wall_ms, now);
+}
+
+void job_book::finish_step(job_entry& job, const step_ref& ref,
+                           std::int64_t wall_ms, mono_time now) {
+    repeat_entry& repeat = job.repeats.at(ref.repeat);
+    ++repeat.steps_done;
+    if (repeat.steps_done < static_cast<std::int32_t>(repeat.steps.size()))
+        return open_steps(job, repeat, now);
+    job.repeats.erase(ref.repeat);
+    ++job.repeats_done;
+    if (job.repeats_done < std::max(1, job.record.spec.repeats) || job.ended())
+        return;
+    job.state = job_state::completed;
+    job.ended_ms = wall_ms;
+}
+
+bool job_book::fail(const task_id& id, std::int32_t run, int max_attempts,
+                    std::int64_t wall_ms) {
+    job_entry* job = find(id.step.job);
+    task_entry* task = find(id);
+    if (task == nullptr || task->phase == task_phase::done)
+        return false;
+    const step_spec& step_of = *spec(id.step);
+    step_entry& step = *find(id.step);
+    task->avoid = task->target;
+    release(id);
+    std::int32_t attempts = ++task->failed;
+    if (step_of.gang) {
+        if (step.last_failed < run) {
+            step.last_failed = run;
+            ++step.failed_runs;
+        }
+        attempts = step.failed_runs;
+    }
+    touch(id.step.job);
+    if (step_of.lasting || attempts < max_attempts || job->ended())
+        return false;
+    job->state = job_state::failed;
+    job->ended_ms = wall_ms;
+    return true;
+}
+
+bool job_book::cancel(const job_id& id, std::int64_t wall_ms) {
+    job_entry* job = find(id);
+    if (job == nullptr || job->ended())
+        return false;
+    job->state = job_state::cancelled;
+    job->ended_ms = wall_ms;
+    touch(id);
+    return true;
+}
+
+void job_book::keep_checkpoint(const task_id& id,
+                               const std::string& checkpoint) {
+    if (checkpoint.empty())
+        return;
+    task_entry* task = find(id);
+    if (task == nullptr || task->phase == task_phase::done)
+        return;
+    if (!spec(id.step)->gang) {
+        task->checkpoint = checkpoint;
+        return;
+    }
+    for (task_entry& member : find(id.step)->tasks)
+        member.checkpoint = checkpoint;
+}
+
+void job_book::forget(const job_id& id) {
+    jobs_.erase(id);
+    changed_.erase(id);
+}
+
+job_entry* job_book::find(const job_id& id) {
+    const auto found = jobs_.find(id);
+    return found == jobs_.end() ? nullptr : &found->second;
+}
+
+const job_entry* job_book::find(const job_id& id) const {
+    const auto found = jobs_.find(id);
+    return found == jobs_.end() ? nullptr : &found->second;
+}
+
+step_entry* job_book::find(const step_ref& ref) {
+    job_entry* job = find(ref.job);
+    if (job == nullptr)
+        return nullptr;
+    const auto repeat = job->repeats.find(ref.repeat);
+    if (repeat == job->repeats.end() || ref.step < 0 ||
+        static_cast<size_t>(ref.step) >= repeat->second.steps.size())
+        return nullptr;
+    return &repeat->second.steps[static_cast<size_t>(ref.step)];
+}
+
+task_entry* job_book::find(const task_id& id) {
+    step_entry* step = find(id.step);
+    if (step == nullptr || id.index < 0 ||
+        static_cast<size_t>(id.index) >= step->tasks.size())
+        return nullptr;
+    return &step->tasks[static_cast<size_t>(id.index)];
+}
+
+const step_spec* job_book::spec(const step_ref& ref) const {
+    const job_entry* job = find(ref.job);
+    if (job == nullptr || ref.step < 0 ||
+        static_cast<size_t>(ref.step) >= job->record.spec.steps.size())
+        return nullptr;
+    return &job->record.spec.steps[static_cast<size_t>(ref.step)];
+}
+
+void job_book::restore(job_entry job, mono_time now) {
+    const job_id id = job.record.id;
+    jobs_[id] = std::move(job);
+    job_entry& kept = jobs_[id];
+    for (auto& [number, repeat] : kept.repeats)
+        open_steps(kept, repeat, now);
+}
+
+} // namespace rattan::dispatch
--- /dev/null
+++ b/src/dispatch/owner_base.hpp
@@ -0,0 +1,217 @@
+/** @file The owner of a cell: decides what runs where. */
+#pragma once
+
+#include "dispatch/advice_book.hpp"
+#include "dispatch/job_book.hpp"
+#include "dispatch/route_type.hpp"
+#include "dispatch/target_book.hpp"
+
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace rattan::dispatch {
+
+/** A record for the store. */
+struct kept_record {
+    std::string key;
+    std::string value; ///< Empty: the key is dropped.
+};
+
+/** Carries the owner's orders out; answers come back through its events. */
+class owner_output {
+public:
+    virtual ~owner_output() = default;
+
+    virtual void start(const target_address& target,
+                       const start_order& order) = 0;
+    virtual void stop(const target_address& target, const task_id& task,
+                      std::int32_t run, std::int64_t fence) = 0;
+    virtual void pace(const target_address& target, const task_id& task,
+                      std::int32_t run, int percent, std::int64_t fence) = 0;
+    virtual void look(const target_address& target,
+                      const look_order& order) = 0;
+    virtual void ask_advice(const host_id& host, const step_ref& step,
+                            const std::vector<std::string>& targets,
+                            millis timeout) = 0;
+    /** Stores records in order, all or none; `owner::stored` follows. */
+    virtual void store(const std::vector<kept_record>& records) = 0;
+    /** Writes a line that explains a decision. */
+    virtual void log(std::string_view event, const job_id& job,
+                     const std::string& detail) = 0;
+};
+
+/** Settings of the owner's decisions. */
+struct owner_settings {
+    std::int64_t epoch = 0; ///< The fence of its orders.
+    /** What a target runs ends this long after the last look. */
+    millis lease{3500};
+    /** Orders may be sent so long after the store last confirmed us. */
+    millis unconfirmed{3000};
+    millis stop_time{200};  ///< A stopped task is gone after this.
+    millis state_kept{120'000}; ///< Ended jobs are shown this long.
+    millis harm_time{4000}; ///< A tail may be over its target this long.
+};
+
+/** What the owner knows of time; given with each event. */
+struct owner_clock {
+    mono_time now{};
+    std::int64_t wall_ms = 0; ///< Unix time.
+};
+
+/** Decides; has no sockets, clocks or threads. */
+class owner {
+public:
+    owner(const owner_settings& settings, owner_output& output);
+
+    /** @name Facts from outside. */
+    ///@{
+    void set_config(const cell_config& config) { config_ = config; }
+    void set_evacuated(std::set<data_centre_id> centres);
+    void set_hosts(const std::vector<host_id>& hosts);
+    /** A target's entry in the list, new or changed. */
+    void listed(const target_entry& entry, const owner_clock& clock);
+    void delisted(const target_id& target);
+    /** A job as accepted, new or again. */
+    void accepted(job_record record, const owner_clock& clock);
+    void cancelled(const job_id& job, const owner_clock& clock);
+    /** A job that an earlier owner left. */
+    void restore(job_entry job, const owner_clock& clock);
+    /** The store has confirmed at `at` that nobody else has claimed. */
+    void confirmed(mono_time at);
+    /** This process stood still: another may have claimed meanwhile. */
+    void suspended() { confirmed_at_ = {}; }
+    ///@}
+
+    /** @name Answers to its orders. */
+    ///@{
+    void started(const target_id& target, const task_id& task,
+                 std::int32_t run, const order_answer& answer,
+                 const owner_clock& clock);
+    void stop_answered(const target_id& target, const task_id& task,
+                       std::int32_t run, const order_answer& answer,
+                       const owner_clock& clock);
+    void looked(const target_id& target, const look_answer& answer,
+                mono_time sent_at, const owner_clock& clock);
+    void advised_on(const host_id& host, const step_ref& step, bool slow,
+                    const advice_answer& answer, const owner_clock& clock);
+    /** The records of the last `store` are in the store. */
+    void stored(const owner_clock& clock);
+    ///@}
+
+    /** Begins the takeover: the jobs and targets so far are an old owner's. */
+    void take_over(const owner_clock& clock);
+
+    /** Does what is due. */
+    void tick(const owner_clock& clock);
+
+    /** When `tick` has something to do without a new event. */
+    [[nodiscard]] mono_time next_due(const owner_clock& clock) const;
+
+    /** A target has refused an order for a higher fence. */
+    [[nodiscard]] bool deposed() const { return deposed_; }
+
+    /** @name Questions. */
+    ///@{
+    [[nodiscard]] job_state state_of(const job_id& job,
+                                     const organisation_id& asking) const;
+    [[nodiscard]] std::int64_t waiting_in(const queue_id& queue) const;
+    [[nodiscard]] const job_book& jobs() const { return jobs_; }
+    [[nodiscard]] const target_book& targets() const { return targets_; }
+    [[nodiscard]] std::string dump() const;
+    ///@}
+
+private:
+    /** A step that has tasks to start, and its place in the order. */
+    struct runnable_step {
+        step_ref ref;
+        int priority = 0;
+        int lateness = 0; ///< 0 in time, 1 late, 2 worth nothing any more.
+        std::int64_t due_ms = 0; ///< Unix time of the job's objective.
+        const step_spec* spec = nullptr;
+        const queue_config* queue = nullptr;
+    };
+
+    // owner_base.cpp
+    [[nodiscard]] bool may_order(mono_time now) const;
+    [[nodiscard]] target_address address_of(const target_state& t) const;
+    void open_due_repeats(const owner_clock& clock);
+    void forget_old(const owner_clock& clock);
+    void flush(const owner_clock& clock);
+    [[nodiscard]] int max_attempts(const job_entry& job) const;
+
+    // owner_start.cpp
+    void schedule(const owner_clock& clock);
+    [[nodiscard]] std::vector<runnable_step>
+    runnable(const owner_clock& clock) const;
+    void place_step(const runnable_step& step, const owner_clock& clock);
+    void place_gang(const runnable_step& step,
+                    const std::vector<target_state*>& usable,
+                    const owner_clock& clock);
+    void place_on(const runnable_step& step, std::int32_t index,
+                  std::int32_t run, target_state& target,
+                  const owner_clock& clock);
+    [[nodiscard]] bool eligible(const runnable_step& step,
+                                const target_state& target,
+                                mono_time now) const;
+    [[nodiscard]] std::int32_t slots(const runnable_step& step,
+                                     const target_state& target) const;
+    [[nodiscard]] resources quota_left(const runnable_step& step) const;
+    void ask(const runnable_step& step, const owner_clock& clock);
+    void send_starts(const owner_clock& clock);
+    void send_start(target_state& target, const task_id& task, run_entry& run,
+                    const owner_clock& clock);
+
+    // owner_look.cpp
+    void send_looks(const owner_clock& clock);
+    void look_now(target_state& target, const owner_clock& clock);
+    void take_end(target_state& target, const listed_end& end,
+                  const owner_clock& clock);
+    void take_running(target_state& target, const look_answer& answer,
+                      mono_time sent_at, const owner_clock& clock);
+    void adopt(target_state& target, const listed_run& run,
+               const owner_clock& clock);
+    void new_life(target_state& target, std::int64_t born,
+                  const owner_clock& clock);
+    void expire(target_state& target, const owner_clock& clock);
+    void pace_fillers(target_state& target);
+
+    // owner_stop.cpp
+    void stop_run(target_state& target, const task_id& task,
+                  const owner_clock& clock);
+    void send_stops(const owner_clock& clock);
+    void stop_job(const job_entry& job, const owner_clock& clock);
+    void stop_gang(const step_ref& step, const owner_clock& clock);
+    void drop_run(target_state& target, const task_id& task);
+    void run_ended(target_state& target, const run_entry& run,
+                   const listed_end& end, const owner_clock& clock);
+    void judge_target(target_state& target, const listed_end& end,
+                      const owner_clock& clock);
+
+    owner_settings settings_;
+    owner_output& output_;
+    cell_config config_;
+    std::set<data_centre_id> evacuated_;
+    job_book jobs_;
+    target_book targets_;
+    advice_book advice_;
+    std::set<job_id> live_; ///< Jobs that have not ended.
+    bool storing_ = false;
+    bool deposed_ = false;
+    bool schedule_due_ = false;
+    mono_time confirmed_at_{};
+    mono_time suspects_until_{}; ///< Leases of earlier owners end by then.
+    mono_time next_sweep_{};
+    std::vector<std::pair<target_id, task_id>> recording_; ///< In `store`.
+    std::vector<std::pair<target_id, task_id>> chosen_;    ///< For the next.
+    std::map<target_id, std::int64_t> storing_ends_;
+    std::vector<kept_record> dropped_; ///< Keys to drop with the next.
+};
+
+/** Keys of the store's topics. */
+std::string job_key(const job_id& job);
+std::string cancel_key(const job_id& job);
+std::string progress_key(const job_id& job);
+
+} // namespace rattan::dispatch
--- /dev/null
+++ b/src/dispatch/owner_look.cpp
@@ -0,0 +1,265 @@
+/** @file Looks at targets: leases, ends, lives. */
+#include "dispatch/owner_base.hpp"
+
+#include <algorithm>
+
+namespace rattan::dispatch {
+
+namespace {
+
+constexpr millis BUSY_WAIT{1000};   ///< A look waits so long for an end.
+constexpr millis SERVING_WAIT{500}; ///< Where tails have to be watched.
+constexpr millis IDLE_PERIOD{2000}; ///< Between looks at an idle target.
+constexpr millis RETRY_PERIOD{250}; ///< After a look without an answer.
+constexpr millis ANSWER_TIME{700};  ///< Beyond the wait that was asked for.
+constexpr millis LAPSE_MARGIN{100}; ///< Rounding and the kill itself.
+/** With ends not yet stored, a look only renews the lease, this often. */
+constexpr millis RENEW_PERIOD{800};
+constexpr int FULL_PACE = 100;
+
+} // namespace
+
+void owner::send_looks(const owner_clock& clock) {
+    if (!may_order(clock.now))
+        return;
+    for (auto& [id, target] : targets_.all()) {
+        if (target.looking || target.entry.address.empty())
+            continue;
+        if (!target.listed && target.runs.empty())
+            continue;
+        if (target.look_due <= clock.now)
+            look_now(target, clock);
+    }
+}
+
+void owner::look_now(target_state& target, const owner_clock& clock) {
+    const bool settled = target.applied_end == target.stored_end;
+    const bool unsure = std::any_of(
+        target.runs.begin(), target.runs.end(), [](const auto& item) {
+            return item.second.phase == run_phase::unclear ||
+                   item.second.phase == run_phase::stopping ||
+                   item.second.phase == run_phase::suspect;
+        });
+    const bool serving = std::any_of(
+        target.runs.begin(), target.runs.end(), [](const auto& item) {
+            return item.second.tail_target.count() > 0;
+        });
+    millis wait{0};
+    if (!target.runs.empty() && settled && !unsure && target.answers)
+        wait = serving && target.filling_cores > 0 ? SERVING_WAIT : BUSY_WAIT;
+    look_order order{.fence = settings_.epoch,
+                     .last_seen = target.answers ? target.stored_end : 0,
+                     .wait = wait,
+                     .timeout = wait + ANSWER_TIME};
+    if (target.clock_ms > 0) {
+        order.until_ms = target.clock_now(clock.now) + settings_.lease.count();
+        target.until_ms = std::max(target.until_ms, order.until_ms);
+    }
+    target.looking = true;
+    target.look_sent = clock.now;
+    output_.look(address_of(target), order);
+}
+
+void owner::looked(const target_id& id, const look_answer& answer,
+                   mono_time sent_at, const owner_clock& clock) {
+    target_state* found = targets_.find(id);
+    if (found == nullptr)
+        return;
+    target_state& target = *found;
+    target.looking = false;
+    if (answer.order.refusal == order_refusal::fence) {
+        deposed_ = true;
+        return;
+    }
+    if (!answer.order.done) {
+        if (std::exchange(target.answers, false))
+            output_.log("target_silent", {}, "target=" + id.value);
+        target.look_due = clock.now + RETRY_PERIOD;
+        return;
+    }
+    if (answer.born != 0 && answer.born != target.entry.born)
+        new_life(target, answer.born, clock);
+    const bool was_usable = target.answers && target.fenced;
+    target_book::set_clock(target, answer.order.clock_ms, clock.now);
+    target.answers = true;
+    for (const listed_end& end : answer.ended)
+        if (end.number > target.applied_end)
+            take_end(target, end, clock);
+    take_running(target, answer, sent_at, clock);
+    target.fenced = true;
+    if (!was_usable)
+        schedule_due_ = true;
+    pace_fillers(target);
+    if (target.applied_end > target.stored_end)
+        target.look_due = clock.now + RENEW_PERIOD;
+    else if (target.runs.empty())
+        target.look_due = clock.now + IDLE_PERIOD;
+    else
+        target.look_due = clock.now;
+}
+
+void owner::take_end(target_state& target, const listed_end& end,
+                     const owner_clock& clock) {
+    target.applied_end = end.number;
+    const auto found = target.runs.find(end.task);
+    const bool counted =
+        found != target.runs.end() && found->second.run == end.run;
+    const run_entry run = counted ? found->second : run_entry{.run = end.run};
+    if (counted)
+        targets_.remove_run(target, end.task);
+    run_ended(target, run, end, clock);
+    judge_target(target, end, clock);
+    schedule_due_ = true;
+}
+
+void owner::take_running(target_state& target, const look_answer& answer,
+                         mono_time sent_at, const owner_clock& clock) {
+    std::set<task_id> present;
+    for (const listed_run& run : answer.running) {
+        present.insert(run.task);
+        adopt(target, run, clock);
+    }
+    std::vector<task_id> gone;
+    for (auto& [task, run] : target.runs) {
+        if (present.contains(task))
+            continue;
+        switch (run.phase) {
+        case run_phase::suspect:
+            // The fence of this look keeps older orders out.
+            gone.push_back(task);
+            break;
+        case run_phase::unclear:
+            if (sent_at > run.since) {
+                run.phase = run_phase::stopping;
+                run.stop_sent = false;
+            }
+            break;
+        case run_phase::stopping:
+            if (run.stop_acked != mono_time{} && sent_at > run.stop_acked)
+                gone.push_back(task);
+            break;
+        case run_phase::recording:
+        case run_phase::starting:
+        case run_phase::running:
+            break;
+        }
+    }
+    for (const task_id& task : gone)
+        drop_run(target, task);
+}
+
+void owner::adopt(target_state& target, const listed_run& listed,
+                  const owner_clock& clock) {
+    const auto found = target.runs.find(listed.task);
+    if (found != target.runs.end() && found->second.run == listed.run) {
+        run_entry& run = found->second;
+        run.percent = listed.percent;
+        run.figure = listed.figure;
+        jobs_.keep_checkpoint(listed.task, listed.checkpoint);
+        if (run.phase == run_phase::suspect ||
+            run.phase == run_phase::unclear ||
+            run.phase == run_phase::starting) {
+            run.phase = run_phase::running;
+            run.since = clock.now;
+            run.started = clock.now;
+        }
+        return;
+    }
+    if (found != target.runs.end())
+        return; // An older run; the newer one's start shuts it out.
+    // A run that no job accounts for: of an ended job, or of an old owner.
+    const step_spec* spec = jobs_.spec(listed.task.step);
+    const job_entry* job = jobs_.find(listed.task.step.job);
+    output_.log("run_unknown", listed.task.step.job,
+                "target=" + target.entry.id.value);
+    targets_.add_run(
+        target, listed.task,
+        {.run = listed.run,
+         .phase = run_phase::stopping,
+         .each = spec != nullptr ? spec->each : resources{},
+         .filling = spec != nullptr && spec->filling,
+         .organisation =
+             job != nullptr ? job->record.organisation : organisation_id{},
+         .since = clock.now});
+}
+
+void owner::new_life(target_state& target, std::int64_t born,
+                     const owner_clock& clock) {
+    output_.log("target_restarted", {}, "target=" + target.entry.id.value);
+    std::vector<task_id> gone;
+    for (auto& [task, run] : target.runs) {
+        if (run.phase == run_phase::recording)
+            continue;
+        // A late order could still reach the new life: stop it there first.
+        if (run.phase == run_phase::unclear ||
+            run.phase == run_phase::starting ||
+            (run.phase == run_phase::stopping && run.started == mono_time{})) {
+            run.phase = run_phase::stopping;
+            run.stop_sent = false;
+            run.stop_acked = {};
+            continue;
+        }
+        gone.push_back(task);
+    }
+    for (const task_id& task : gone)
+        drop_run(target, task);
+    target.entry.born = born;
+    target.applied_end = 0;
+    target.stored_end = 0;
+    target.clock_ms = 0;
+    target.until_ms = 0;
+    target.fenced = false;
+    target.look_due = clock.now;
+    schedule_due_ = true;
+}
+
+void owner::expire(target_state& target, const owner_clock& clock) {
+    if (target.runs.empty() || target.answers)
+        return;
+    std::vector<task_id> gone;
+    const bool lapsed = target.clock_ms > 0 &&
+                        target_book::lapsed(target, clock.now,
+                                            LAPSE_MARGIN + settings_.stop_time);
+    for (const auto& [task, run] : target.runs) {
+        if (run.phase == run_phase::suspect
+                ? clock.now >= suspects_until_
+                : run.phase != run_phase::recording && lapsed)
+            gone.push_back(task);
+    }
+    for (const task_id& task : gone) {
+        output_.log("run_lapsed", task.step.job,
+                    "target=" + target.entry.id.value);
+        drop_run(target, task);
+    }
+}
+
+void owner::pace_fillers(target_state& target) {
+    if (target.filling_cores == 0)
+        return;
+    // Share of its target at which a tail makes fillers slower or faster.
+    constexpr double TOO_HIGH = 0.85;
+    constexpr double LOW = 0.6;
+    double worst = 0;
+    for (const auto& [task, run] : target.runs)
+        if (run.tail_target.count() > 0)
+            worst = std::max(worst,
+                             static_cast<double>(run.figure) /
+                                 static_cast<double>(run.tail_target.count()));
+    for (auto& [task, run] : target.runs) {
+        if (!run.filling || run.phase != run_phase::running)
+            continue;
+        int pace = run.pace;
+        if (worst > 1)
+            pace = 0;
+        else if (worst > TOO_HIGH)
+            pace = pace / 2;
+        else if (worst < LOW)
+            pace = std::min(FULL_PACE, pace + 20);
+        if (pace == run.pace)
+            continue;
+        run.pace = pace;
+        output_.pace(address_of(target), task, run.run, pace, settings_.epoch);
+    }
+}
+
+} // namespace rattan::dispatch
--- /dev/null
+++ b/src/dispatch/owner_stop.cpp
@@ -0,0 +1,156 @@
+/** @file Ends of runs: ordered, listed, or proved by a lapsed lease. */
+#include "dispatch/owner_base.hpp"
+
+namespace rattan::dispatch {
+
+namespace {
+
+constexpr millis STOP_RETRY{400}; ///< A stop without an answer is repeated.
+constexpr int SICK_AFTER = 3;     ///< Failed runs in a row.
+constexpr millis SICK_TIME{3000}; ///< Then a probe is started.
+
+} // namespace
+
+void owner::stop_run(target_state& target, const task_id& task,
+                     const owner_clock& clock) {
+    run_entry& run = target.runs.at(task);
+    if (run.phase == run_phase::recording)
+        return drop_run(target, task); // Never sent.
+    if (run.phase == run_phase::stopping)
+        return;
+    run.phase = run_phase::stopping;
+    run.since = clock.now;
+    run.stop_sent = false;
+}
+
+void owner::send_stops(const owner_clock& clock) {
+    if (!may_order(clock.now))
+        return;
+    for (auto& [id, target] : targets_.all())
+        for (auto& [task, run] : target.runs) {
+            if (run.phase != run_phase::stopping ||
+                run.stop_acked != mono_time{} || !target.answers)
+                continue;
+            if (run.stop_sent && clock.now < run.since + STOP_RETRY)
+                continue;
+            run.stop_sent = true;
+            run.since = clock.now;
+            output_.stop(address_of(target), task, run.run, settings_.epoch);
+        }
+}
+
+void owner::stop_answered(const target_id& id, const task_id& task,
+                          std::int32_t run_number, const order_answer& answer,
+                          const owner_clock& clock) {
+    if (answer.refusal == order_refusal::fence)
+        deposed_ = true;
+    target_state* target = targets_.find(id);
+    if (target == nullptr)
+        return;
+    target_book::set_clock(*target, answer.clock_ms, clock.now);
+    const auto found = target->runs.find(task);
+    if (found == target->runs.end() || found->second.run != run_number ||
+        !answer.done)
+        return;
+    found->second.stop_acked = clock.now;
+    target->look_due = std::min(target->look_due, clock.now + settings_.stop_time);
+}
+
+void owner::stop_job(const job_entry& job, const owner_clock& clock) {
+    const job_id id = job.record.id;
+    for (auto& [name, target] : targets_.all()) {
+        std::vector<task_id> mine;
+        auto at = target.runs.lower_bound(task_id{{id, 0, 0}, 0});
+        for (; at != target.runs.end() && at->first.step.job == id; ++at)
+            mine.push_back(at->first);
+        for (const task_id& task : mine)
+            stop_run(target, task, clock);
+    }
+}
+
+void owner::stop_gang(const step_ref& step, const owner_clock& clock) {
+    for (auto& [name, target] : targets_.all()) {
+        std::vector<task_id> mine;
+        auto at = target.runs.lower_bound(task_id{step, 0});
+        for (; at != target.runs.end() && at->first.step == step; ++at)
+            mine.push_back(at->first);
+        for (const task_id& task : mine)
+            stop_run(target, task, clock);
+    }
+}
+
+void owner::drop_run(target_state& target, const task_id& task) {
+    const auto found = target.runs.find(task);
+    if (found == target.runs.end())
+        return;
+    const std::int32_t run = found->second.run;
+    targets_.remove_run(target, task);
+    const task_entry* entry = jobs_.find(task);
+    if (entry != nullptr && entry->phase == task_phase::placed &&
+        entry->run == run && entry->target == target.entry.id)
+        jobs_.release(task);
+    schedule_due_ = true;
+}
+
+void owner::run_ended(target_state& target, const run_entry& run,
+                      const listed_end& end, const owner_clock& clock) {
+    job_entry* job = jobs_.find(end.task.step.job);
+    task_entry* task = jobs_.find(end.task);
+    if (job == nullptr || task == nullptr || task->phase == task_phase::done ||
+        job->ended())
+        return;
+    const bool current = task->phase == task_phase::placed &&
+                         task->run == run.run &&
+                         task->target == target.entry.id;
+    const step_spec spec = *jobs_.spec(end.task.step);
+    jobs_.keep_checkpoint(end.task, end.checkpoint);
+    switch (end.end) {
+    case run_end::done:
+        if (spec.lasting) {
+            if (current)
+                jobs_.release(end.task);
+            break;
+        }
+        if (!current && task->phase == task_phase::placed)
+            if (target_state* other = targets_.find(task->target);
+                other != nullptr && other->runs.contains(end.task))
+                stop_run(*other, end.task, clock);
+        jobs_.complete(end.task, clock.wall_ms, clock.now);
+        break;
+    case run_end::failed:
+        output_.log("run_failed", end.task.step.job,
+                    "target=" + target.entry.id.value +
+                        " run=" + std::to_string(run.run));
+        if (!current) {
+            ++task->failed;
+            jobs_.touch(end.task.step.job);
+        } else if (jobs_.fail(end.task, run.run, max_attempts(*job),
+                              clock.wall_ms)) {
+            stop_job(*job, clock);
+        }
+        break;
+    case run_end::stopped:
+    case run_end::lapsed:
+    case run_end::broken:
+    case run_end::alone:
+        if (current)
+            jobs_.release(end.task);
+        break;
+    }
+    if (spec.gang && end.end != run_end::done)
+        stop_gang(end.task.step, clock);
+}
+
+void owner::judge_target(target_state& target, const listed_end& end,
+                         const owner_clock& clock) {
+    if (end.end == run_end::done)
+        target.failed_in_a_row = 0;
+    if (end.end != run_end::failed || ++target.failed_in_a_row < SICK_AFTER)
+        return;
+    target.sick_until = clock.now + SICK_TIME;
+    // One more failure after that proves that it is still sick.
+    target.failed_in_a_row = SICK_AFTER - 1;
+    output_.log("target_sick", {}, "target=" + target.entry.id.value);
+}
+
+} // namespace rattan::dispatch
--- /dev/null
+++ b/src/front/front_main.cpp
@@ -0,0 +1,57 @@
+/** @file The program of an entry host on the users' platform. */
+#include "base/log_func.hpp"
+#include "front/front_service.hpp"
+#include "rattan/error_type.hpp"
+
+#include <gflags/gflags.h>
+
+#include <cstdlib>
+#include <iostream>
+
+DECLARE_string(settings); // Here: the platform's file, not YAML.
+
+namespace {
+
+constexpr int EXIT_BAD_SETTINGS = 2;
+constexpr std::size_t FILE_DESCRIPTORS = 200; ///< Kept for files.
+
+/** The settings file's path: the flag, else $RATTANKNOT_SETTINGS. */
+std::string settings_path() {
+    if (!FLAGS_settings.empty())
+        return FLAGS_settings;
+    const char* path = std::getenv("RATTANKNOT_SETTINGS");
+    return path != nullptr ? path : "/etc/rattanknot/local.conf";
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    using namespace rattan;
+    gflags::SetUsageMessage(
+        "[--settings FILE]\n  Serves callers on an entry host until SIGTERM; "
+        "SIGUSR1 logs a state dump.\n  Exit: 0 left on request, 2 settings "
+        "that can't be used, 1 other failures.");
+    gflags::SetVersionString(RATTAN_VERSION);
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    try {
+        const auto settings =
+            platform::load_platform_settings(settings_path());
+        log_open({.program = "rattan_front"});
+        event_loop loop(settings.max_descriptors - FILE_DESCRIPTORS);
+        front::front_service service(loop, settings);
+        loop.on_signals([&] { service.leave(); }, [&] { service.log_dump(); });
+        loop.on_reload([&] {
+            log_event(log_level::info, "reload_asked",
+                      {{"effect", "none: settings are read at start"}});
+        });
+        service.start();
+        loop.run();
+        return 0;
+    } catch (const config_error& failure) {
+        std::cerr << "rattan_front: " << failure.what() << "\n";
+        return EXIT_BAD_SETTINGS;
+    } catch (const error& failure) {
+        std::cerr << "rattan_front: " << failure.what() << "\n";
+        return 1;
+    }
+}
--- /dev/null
+++ b/src/front/front_service.hpp
@@ -0,0 +1,77 @@
+/** @file One process an entry host: callers' requests and, perhaps, the cell. */
+#pragma once
+
+#include "base/metrics_base.hpp"
+#include "dispatch/route_type.hpp"
+#include "front/member_service.hpp"
+#include "front/owner_service.hpp"
+#include "front/record_writer.hpp"
+#include "front/topic_follower.hpp"
+#include "net/http_server.hpp"
+#include "net/rpc_server.hpp"
+#include "platform/platform_settings.hpp"
+
+#include <memory>
+#include <set>
+#include <string>
+
+namespace rattan::front {
+
+/** Serves callers, answers other hosts, and owns the cell when it has to. */
+class front_service {
+public:
+    front_service(event_loop& loop,
+                  const platform::platform_settings& settings);
+
+    void start();
+    /** Begins to leave: no new callers, then the end of the loop. */
+    void leave();
+    void log_dump() const;
+
+private:
+    /** A caller's request, with what its path and key have told. */
+    struct call {
+        http_request request;
+        http_server::responder answer;
+        dispatch::queue_config queue;
+        dispatch::organisation_id organisation;
+        job_id job;
+        mono_time arrived{};
+    };
+
+    void on_caller(const http_request& request,
+                   const http_server::responder& answer);
+    void submit(const std::shared_ptr<call>& call);
+    void show(const std::shared_ptr<call>& call);
+    void cancel(const std::shared_ptr<call>& call);
+    void count_waiting(const std::shared_ptr<call>& call);
+    void reply_write(const std::shared_ptr<call>& call, write_result result);
+    void reply_state(const std::shared_ptr<call>& call,
+                     dispatch::job_state state);
+
+    void take_operator_record(const platform::keyed_record& record);
+    void operator_records_loaded(const std::set<std::string>& keys);
+    void serve_peers();
+    [[nodiscard]] bool ready() const;
+
+    event_loop& loop_;
+    platform::platform_settings settings_;
+    std::int64_t life_;
+    metrics_registry metrics_;
+    http_client http_;
+    platform::store_client store_;
+    std::string rpc_address_;
+    member_service members_;
+    topic_follower operator_;
+    record_writer writer_;
+    dispatch::cell_config config_;
+    std::set<data_centre_id> evacuated_;
+    std::unique_ptr<owner_service> owner_;
+    std::unique_ptr<rpc_server> rpc_;
+    std::unique_ptr<http_server> callers_;
+    std::unique_ptr<http_server> readiness_;
+    std::unique_ptr<http_server> metrics_page_;
+    bool leaving_ = false;
+};
+
+} // namespace rattan::front
--- /dev/null
+++ b/src/front/member_service.hpp
@@ -0,0 +1,92 @@
+/** @file Which entry hosts there are, and which of them owns the cell. */
+#pragma once
+
+#include "dispatch/record_codec.hpp"
+#include "front/topic_follower.hpp"
+#include "net/rpc_client.hpp"
+#include "platform/platform_settings.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace rattan::front {
+
+/** Topic of the members and the owner's claims. */
+inline const std::string MEMBERS_TOPIC = "keyed.members";
+
+/**
+ * Follows claims and members in the store, hears the owner directly, and
+ * claims when the owner is silent. A claim is an append at the very end of
+ * the topic that its sender has read, so of two at once one succeeds.
+ */
+class member_service {
+public:
+    /** What the rest of the process is told. */
+    struct callbacks {
+        std::function<void(std::int64_t epoch)> owned; ///< By this process.
+        std::function<void()> lost; ///< Another process has claimed.
+        std::function<void(mono_time)> confirmed; ///< Nobody else by then.
+        std::function<void()> members_changed;
+    };
+
+    member_service(event_loop& loop, platform::store_client& store,
+                   const platform::platform_settings& settings,
+                   std::string own_address, std::int64_t life,
+                   callbacks call);
+
+    void start();
+    /** Gives ownership away, if held, and claims no more. */
+    void leave();
+    /** Gives up an ownership that a target's fence has shown to be over. */
+    void deposed();
+
+    [[nodiscard]] bool ready() const { return members_.loaded(); }
+    [[nodiscard]] bool owns() const { return owns_; }
+    [[nodiscard]] const dispatch::owner_record& owner() const {
+        return owner_;
+    }
+    /** Time since the store last answered. */
+    [[nodiscard]] millis store_age() const;
+    /** Time since the owner was last heard. */
+    [[nodiscard]] millis owner_age() const;
+    /** All entry hosts by name. */
+    [[nodiscard]] const std::map<host_id, dispatch::member_record>&
+    members() const {
+        return known_;
+    }
+    /** A client for calls to another entry host. */
+    rpc_client& peer(const std::string& address);
+
+    /** The answer to another host's beat. */
+    [[nodiscard]] std::string answer_beat() const;
+
+private:
+    void take_record(const platform::keyed_record& record);
+    void take_owner(const dispatch::owner_record& owner);
+    void announce();
+    void beat();
+    void beat_answered(const rpc_answer& answer);
+    void consider_claim();
+    void claim();
+    [[nodiscard]] millis patience() const;
+
+    event_loop& loop_;
+    platform::store_client& store_;
+    platform::platform_settings settings_;
+    std::string own_address_;
+    std::int64_t life_;
+    callbacks call_;
+    topic_follower members_;
+    std::map<host_id, dispatch::member_record> known_;
+    std::map<std::string, std::unique_ptr<rpc_client>> peers_;
+    dispatch::owner_record owner_;
+    mono_time heard_{}; ///< When the owner last answered well.
+    int refused_ = 0;   ///< Connections to it in a row.
+    bool owns_ = false;
+    bool claiming_ = false;
+    bool leaving_ = false;
+    bool beating_ = false;
+};
+
+} // namespace rattan::front
--- /dev/null
+++ b/src/front/owner_service.cpp
@@ -0,0 +1,428 @@
+#include "front/owner_service.hpp"
+
+#include "base/log_func.hpp"
+#include "net/process_frame.hpp"
+#include "net/wire_func.hpp"
+#include "platform/wire_codec.hpp"
+#include "rattan/error_type.hpp"
+
+#include <ctime>
+#include <utility>
+
+namespace rattan::front {
+
+using namespace dispatch;
+using platform::append_answer;
+using platform::keyed_record;
+using platform::newest_answer;
+using platform::store_result;
+
+namespace {
+
+constexpr millis LOAD_TIME{1500};   ///< Of a page of records.
+constexpr millis APPEND_TIME{700};  ///< An answer is given up after this.
+constexpr millis RETRY_TIME{100};   ///< After a call without success.
+constexpr millis START_TIME{900};   ///< Of an order that starts a run.
+constexpr millis STOP_TIME{700};    ///< Of one that stops or slows it.
+constexpr millis LIST_PAUSE{300};   ///< Between reads of the target list.
+constexpr millis SHORTEST_SLEEP{5}; ///< Between rounds without an event.
+constexpr millis LONGEST_SLEEP{100};
+constexpr millis STANDSTILL{200}; ///< A shorter one needs no care.
+constexpr size_t PROGRESS_PREFIX = 2; ///< Of `p/` and the like.
+
+/** Time that this host stood still since it booted. */
+millis time_suspended() {
+    timespec boot{};
+    timespec steady{};
+    clock_gettime(CLOCK_BOOTTIME, &boot);
+    clock_gettime(CLOCK_MONOTONIC, &steady);
+    constexpr std::int64_t NANOS = 1'000'000;
+    return millis((boot.tv_sec - steady.tv_sec) * 1000 +
+                  (boot.tv_nsec - steady.tv_nsec) / NANOS);
+}
+
+owner_settings decide_settings(const platform::platform_settings& settings,
+                               std::int64_t epoch) {
+    owner_settings out{.epoch = epoch};
+    out.lease = std::min(out.lease, settings.longest_lease);
+    out.stop_time = settings.stop_time;
+    out.state_kept = settings.state_kept;
+    out.harm_time = settings.harm_time;
+    return out;
+}
+
+} // namespace
+
+template <typename Call>
+auto owner_service::guarded(Call call) {
+    return [this, call = std::move(call),
+            alive = std::weak_ptr(alive_)](const auto&... values) {
+        if (!alive.expired())
+            call(values...);
+    };
+}
+
+owner_service::owner_service(const owner_context& context, std::int64_t epoch)
+    : context_(context), targets_(context.http),
+      owner_(decide_settings(context.settings, epoch), *this), epoch_(epoch),
+      suspended_before_(time_suspended()) {
+    jobs_ = std::make_unique<topic_follower>(
+        context_.loop, context_.store,
+        follow_options{.topic = JOBS_TOPIC, .wait = millis(1000)},
+        [this](const keyed_record& record) { take_job_record(record); },
+        [this](const std::set<std::string>&) { load_done(); });
+    listed_ = std::make_unique<topic_follower>(
+        context_.loop, context_.store,
+        follow_options{.topic = platform::TARGETS_TOPIC,
+                       .wait = millis(1000),
+                       .pause = LIST_PAUSE},
+        [this](const keyed_record& record) { take_target_record(record); },
+        [this](const std::set<std::string>& keys) {
+            for (const std::string& key : target_keys_)
+                if (!keys.contains(key))
+                    owner_.delisted({key});
+            target_keys_ = keys;
+            load_done();
+        });
+    fence_store();
+}
+
+owner_service::~owner_service() {
+    alive_.reset();
+    context_.loop.cancel(timer_);
+}
+
+owner_clock owner_service::clock() {
+    const millis suspended = time_suspended();
+    if (suspended - suspended_before_ > STANDSTILL) {
+        log_event(log_level::warning, "stood_still",
+                  {{"ms", std::to_string((suspended - suspended_before_)
+                                             .count())}});
+        owner_.suspended();
+    }
+    suspended_before_ = suspended;
+    return {.now = event_loop::now(), .wall_ms = wall_millis()};
+}
+
+void owner_service::fence_store() {
+    // From here on no earlier owner can store anything.
+    context_.store.append(
+        {.topic = PROGRESS_TOPIC,
+         .identity = platform::append_identity{.producer = "owner",
+                                               .epoch = epoch_,
+                                               .sequence = sequence_},
+         .timeout = APPEND_TIME},
+        guarded([this](const append_answer& answer) {
+            if (answer.result == store_result::fenced)
+                return context_.members.deposed();
+            if (answer.result != store_result::ok &&
+                answer.result != store_result::out_of_order) {
+                context_.loop.after(RETRY_TIME,
+                                    guarded([this] { fence_store(); }));
+                return;
+            }
+            jobs_->start();
+            listed_->start();
+            load_progress("");
+        }));
+}
+
+void owner_service::load_progress(const std::string& after) {
+    context_.store.newest(
+        PROGRESS_TOPIC, after, LOAD_TIME,
+        guarded([this, after](const newest_answer& page) {
+            if (page.result != store_result::ok) {
+                context_.loop.after(RETRY_TIME, guarded([this, after] {
+                                        load_progress(after);
+                                    }));
+                return;
+            }
+            for (const keyed_record& record : page.records)
+                loaded_progress_[{record.key.substr(PROGRESS_PREFIX)}] =
+                    record.value;
+            if (page.more && !page.records.empty())
+                return load_progress(page.records.back().key);
+            progress_loaded_ = true;
+            load_done();
+        }));
+}
+
+void owner_service::load_done() {
+    if (serving_ || !progress_loaded_ || !jobs_->loaded() ||
+        !listed_->loaded())
+        return;
+    const owner_clock at = clock();
+    for (auto& [id, record] : std::exchange(loaded_jobs_, {})) {
+        job_entry job{.record = std::move(record)};
+        const auto progress = loaded_progress_.find(id);
+        try {
+            if (progress != loaded_progress_.end())
+                apply_progress(job, progress->second);
+        } catch (const decode_error& failure) {
+            log_event(log_level::error, "progress_unreadable",
+                      {{"job", id.value}, {"cause", failure.what()}});
+            continue;
+        }
+        owner_.restore(std::move(job), at);
+    }
+    loaded_progress_.clear();
+    owner_.take_over(at);
+    serving_ = true;
+    for (const job_id& id : std::exchange(loaded_cancels_, {}))
+        owner_.cancelled(id, at);
+    log_event(log_level::info, "owner_serving",
+              {{"epoch", std::to_string(epoch_)},
+               {"jobs", std::to_string(owner_.jobs().all().size())},
+               {"targets", std::to_string(owner_.targets().all().size())}});
+    wake();
+}
+
+void owner_service::take_job_record(const keyed_record& record) {
+    if (record.value.empty() || record.key.size() < PROGRESS_PREFIX)
+        return;
+    const job_id id{record.key.substr(PROGRESS_PREFIX)};
+    try {
+        if (record.key == cancel_key(id)) {
+            if (serving_)
+                owner_.cancelled(id, clock());
+            else
+                loaded_cancels_.insert(id);
+        } else if (record.key == job_key(id)) {
+            job_record job = decode_job_record(record.value);
+            if (serving_)
+                owner_.accepted(std::move(job), clock());
+            else
+                loaded_jobs_.try_emplace(id, std::move(job));
+        }
+    } catch (const decode_error& failure) {
+        log_event(log_level::error, "job_unreadable",
+                  {{"key", record.key}, {"cause", failure.what()}});
+    }
+    wake();
+}
+
+void owner_service::take_target_record(const keyed_record& record) {
+    if (record.value.empty()) {
+        owner_.delisted({record.key});
+        target_keys_.erase(record.key);
+    } else {
+        try {
+            owner_.listed(platform::decode_target(record.key, record.value),
+                          clock());
+            target_keys_.insert(record.key);
+        } catch (const decode_error& failure) {
+            log_event(log_level::warning, "target_entry_skipped",
+                      {{"target", record.key}, {"cause", failure.what()}});
+        }
+    }
+    wake();
+}
+
+void owner_service::set_config(const cell_config& config) {
+    owner_.set_config(config);
+    wake();
+}
+
+void owner_service::set_evacuated(const std::set<data_centre_id>& centres) {
+    owner_.set_evacuated(centres);
+    wake();
+}
+
+void owner_service::set_hosts() {
+    std::vector<host_id> hosts{context_.settings.host};
+    for (const auto& [host, member] : context_.members.members())
+        if (host != context_.settings.host)
+            hosts.push_back(host);
+    owner_.set_hosts(hosts);
+    wake();
+}
+
+void owner_service::confirmed(mono_time at) {
+    owner_.confirmed(at);
+}
+
+void owner_service::wake() {
+    if (!serving_ || std::exchange(tick_scheduled_, true))
+        return;
+    context_.loop.defer(guarded([this] { tick(); }));
+}
+
+void owner_service::tick() {
+    tick_scheduled_ = false;
+    owner_.tick(clock());
+    if (owner_.deposed())
+        return context_.members.deposed();
+    arm();
+}
+
+void owner_service::arm() {
+    const owner_clock at = clock();
+    const mono_time due =
+        std::clamp(owner_.next_due(at), at.now + SHORTEST_SLEEP,
+                   at.now + LONGEST_SLEEP);
+    if (timer_ != 0 && timer_due_ <= due && timer_due_ > at.now)
+        return;
+    context_.loop.cancel(timer_);
+    timer_due_ = due;
+    timer_ = context_.loop.after(due - at.now, guarded([this] {
+                                     timer_ = 0;
+                                     wake();
+                                 }));
+}
+
+void owner_service::start(const target_address& target,
+                          const start_order& order) {
+    ++context_.metrics.counter("rattan_starts_sent_total");
+    log_event(log_level::info, "start_sent",
+              {{"job", order.task.step.job.value},
+               {"task", platform::task_name(order.task)},
+               {"run", std::to_string(order.run)},
+               {"target", target.id.value},
+               {"until", std::to_string(order.until_ms)}});
+    targets_.start(
+        target, order, START_TIME,
+        guarded([this, id = target.id, task = order.task,
+                 run = order.run](const order_answer& answer) {
+            owner_.started(id, task, run, answer, clock());
+            wake();
+        }));
+}
+
+void owner_service::stop(const target_address& target, const task_id& task,
+                         std::int32_t run, std::int64_t fence) {
+    ++context_.metrics.counter("rattan_stops_sent_total");
+    log_event(log_level::info, "stop_sent",
+              {{"job", task.step.job.value},
+               {"task", platform::task_name(task)},
+               {"run", std::to_string(run)},
+               {"target", target.id.value}});
+    targets_.stop(target, task, run, fence, STOP_TIME,
+                  guarded([this, id = target.id, task,
+                           run](const order_answer& answer) {
+                      owner_.stop_answered(id, task, run, answer, clock());
+                      wake();
+                  }));
+}
+
+void owner_service::pace(const target_address& target, const task_id& task,
+                         std::int32_t run, int percent, std::int64_t fence) {
+    ++context_.metrics.counter("rattan_paces_sent_total");
+    targets_.pace(target, task, run, percent, fence, STOP_TIME,
+                  [id = target.id](const order_answer& answer) {
+                      if (!answer.done)
+                          log_event(log_level::warning, "pace_failed",
+                                    {{"target", id.value}});
+                  });
+}
+
+void owner_service::look(const target_address& target,
+                         const look_order& order) {
+    ++context_.metrics.counter("rattan_looks_sent_total");
+    targets_.look(target, order,
+                  guarded([this, id = target.id, sent_at = event_loop::now()](
+                              const look_answer& answer) {
+                      owner_.looked(id, answer, sent_at, clock());
+                      wake();
+                  }));
+}
+
+void owner_service::advise(http_client& http, const std::string& address,
+                           const std::string& step,
+                           const std::vector<std::string>& targets,
+                           millis timeout,
+                           std::function<void(const advice_answer&)> done) {
+    platform::ask_advice(http, address, step, targets, timeout,
+                         std::move(done));
+}
+
+void owner_service::ask_advice(const host_id& host, const step_ref& step,
+                               const std::vector<std::string>& targets,
+                               millis timeout) {
+    ++context_.metrics.counter("rattan_advice_asked_total");
+    const bool slow = timeout >= millis(1500) + advice_book::SLOW_CALL;
+    auto done = guarded([this, host, step, slow](const advice_answer& answer) {
+        owner_.advised_on(host, step, slow, answer, clock());
+        wake();
+    });
+    const std::string name = platform::step_name(step);
+    const auto member = context_.members.members().find(host);
+    if (host == context_.settings.host ||
+        member == context_.members.members().end())
+        return advise(context_.http, context_.settings.advice_address, name,
+                      targets, timeout, std::move(done));
+    wire::advise_request request;
+    request.step = name;
+    request.targets = targets;
+    request.timeout_ms = static_cast<std::int32_t>(timeout.count());
+    context_.members.peer(member->second.address)
+        .call(wire::method::ADVISE, wire_encode(request), timeout,
+              [done = std::move(done)](const rpc_answer& answer) {
+                  advice_answer out{.ok = answer.ok()};
+                  if (out.ok) {
+                      const auto reply =
+                          wire_decode<wire::advise_reply>(answer.body);
+                      for (const auto& row : reply.targets)
+                          out.good.push_back({{row.target}, row.ticket});
+                      out.valid = millis(reply.valid_ms);
+                  }
+                  done(out);
+              });
+}
+
+void owner_service::store(const std::vector<kept_record>& records) {
+    std::vector<keyed_record> out;
+    for (const kept_record& record : records)
+        out.push_back({.key = record.key, .value = record.value});
+    ++sequence_;
+    append(out, guarded([this] {
+               owner_.stored(clock());
+               wake();
+           }));
+}
+
+void owner_service::append(const std::vector<keyed_record>& records,
+                           std::function<void()> done) {
+    ++context_.metrics.counter("rattan_owner_appends_total");
+    context_.store.append(
+        {.topic = PROGRESS_TOPIC,
+         .records = records,
+         .identity = platform::append_identity{.producer = "owner",
+                                               .epoch = epoch_,
+                                               .sequence = sequence_},
+         .timeout = APPEND_TIME},
+        guarded([this, records, done, sent_at = event_loop::now()](
+                    const append_answer& answer) {
+            switch (answer.result) {
+            case store_result::ok:
+                owner_.confirmed(sent_at);
+                return done();
+            case store_result::fenced:
+                return context_.members.deposed();
+            case store_result::out_of_order:
+                if (answer.expected_sequence == sequence_ + 1)
+                    return done(); // An earlier try was done.
+                log_event(log_level::warning, "owner_append_out_of_order",
+                          {{"sent", std::to_string(sequence_)},
+                           {"expected",
+                            std::to_string(answer.expected_sequence)}});
+                if (answer.expected_sequence < sequence_)
+                    sequence_ = answer.expected_sequence;
+                break;
+            default:
+                log_event(log_level::warning, "owner_append_failed",
+                          {{"result", std::to_string(static_cast<int>(
+                                          answer.result))}});
+                break;
+            }
+            context_.loop.after(RETRY_TIME, guarded([this, records, done] {
+                                    append(records, done);
+                                }));
+        }));
+}
+
+void owner_service::log(std::string_view event, const job_id& job,
+                        const std::string& detail) {
+    log_event(log_level::info, event, {{"job", job.value}, {"detail", detail}});
+}
+
+} // namespace rattan::front
--- /dev/null
+++ b/src/front/owner_service.hpp
@@ -0,0 +1,106 @@
+/** @file Runs the owner's decisions against the store and the targets. */
+#pragma once
+
+#include "dispatch/owner_base.hpp"
+#include "front/member_service.hpp"
+#include "front/topic_follower.hpp"
+#include "base/metrics_base.hpp"
+#include "platform/target_client.hpp"
+
+#include <memory>
+#include <set>
+#include <string>
+
+namespace rattan::front {
+
+/** Topics of jobs as accepted, and of what has become of them. */
+inline const std::string JOBS_TOPIC = "keyed.jobs";
+inline const std::string PROGRESS_TOPIC = "keyed.progress";
+
+/** What the owner needs of its process. */
+struct owner_context {
+    event_loop& loop;
+    http_client& http;
+    platform::store_client& store;
+    const platform::platform_settings& settings;
+    member_service& members;
+    metrics_registry& metrics;
+};
+
+/** One ownership: loads what was before, then decides until it is lost. */
+class owner_service : public dispatch::owner_output {
+public:
+    owner_service(const owner_context& context, std::int64_t epoch);
+    ~owner_service() override;
+
+    /** Takes the configuration in force. */
+    void set_config(const dispatch::cell_config& config);
+    void set_evacuated(const std::set<data_centre_id>& centres);
+    void set_hosts();
+    void confirmed(mono_time at);
+
+    /** Everything is loaded: questions can be answered. */
+    [[nodiscard]] bool serving() const { return serving_; }
+    [[nodiscard]] const dispatch::owner& decisions() const { return owner_; }
+
+    /** Asks the advice service from this host. */
+    static void advise(http_client& http, const std::string& address,
+                       const std::string& step,
+                       const std::vector<std::string>& targets, millis timeout,
+                       std::function<void(const dispatch::advice_answer&)> done);
+
+    // dispatch::owner_output
+    void start(const dispatch::target_address& target,
+               const dispatch::start_order& order) override;
+    void stop(const dispatch::target_address& target,
+              const dispatch::task_id& task, std::int32_t run,
+              std::int64_t fence) override;
+    void pace(const dispatch::target_address& target,
+              const dispatch::task_id& task, std::int32_t run, int percent,
+              std::int64_t fence) override;
+    void look(const dispatch::target_address& target,
+              const dispatch::look_order& order) override;
+    void ask_advice(const host_id& host, const dispatch::step_ref& step,
+                    const std::vector<std::string>& targets,
+                    millis timeout) override;
+    void store(const std::vector<dispatch::kept_record>& records) override;
+    void log(std::string_view event, const job_id& job,
+             const std::string& detail) override;
+
+private:
+    void fence_store();
+    void load_progress(const std::string& after);
+    void load_done();
+    void take_job_record(const platform::keyed_record& record);
+    void take_target_record(const platform::keyed_record& record);
+    void append(const std::vector<platform::keyed_record>& records,
+                std::function<void()> done);
+    [[nodiscard]] dispatch::owner_clock clock();
+    /** Does what an event made due, once a round of the loop. */
+    void wake();
+    void tick();
+    void arm();
+    template <typename Call>
+    auto guarded(Call call);
+
+    owner_context context_;
+    platform::target_client targets_;
+    dispatch::owner owner_;
+    std::int64_t epoch_;
+    std::int64_t sequence_ = 0;
+    std::unique_ptr<topic_follower> jobs_;
+    std::unique_ptr<topic_follower> listed_;
+    std::map<job_id, dispatch::job_record> loaded_jobs_;
+    std::set<job_id> loaded_cancels_;
+    std::map<job_id, std::string> loaded_progress_;
+    std::set<std::string> target_keys_;
+    bool progress_loaded_ = false;
+    bool serving_ = false;
+    bool tick_scheduled_ = false;
+    long timer_ = 0;
+    mono_time timer_due_{};
+    millis suspended_before_{0};
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace rattan::front
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -4,28 +4,71 @@
 
 #include <ace/Dev_Poll_Reactor.h>
 #include <algorithm>
+#include <cerrno>
 #include <csignal>
+#include <fcntl.h>
+#include <unistd.h>
 
 namespace rattan {
 
 namespace {
 
-constexpr size_t MAX_HANDLES = 8192;
 constexpr std::int64_t MICROS_A_MILLI = 1'000;
-constexpr millis LONGEST_WAIT{50}; ///< Bounds how late a signal is seen.
+constexpr millis LONGEST_WAIT{10'000}; ///< Signals end a wait sooner.
 
 volatile std::sig_atomic_t leave_signals = 0;
 volatile std::sig_atomic_t dump_signals = 0;
+volatile std::sig_atomic_t reload_signals = 0;
+int signal_write_end = -1; ///< Of the pipe that wakes the reactor.
+
+/** Wakes the reactor; safe in a signal handler. */
+void wake_reactor() {
+    const int kept = errno;
+    const char byte = 0;
+    // A full pipe wakes the reactor as well.
+    [[maybe_unused]] const ssize_t sent = write(signal_write_end, &byte, 1);
+    errno = kept;
+}
 
 } // namespace
 
-event_loop::event_loop()
+class event_loop::signal_pipe : public ACE_Event_Handler {
+public:
+    signal_pipe() {
+        if (pipe2(ends_, O_NONBLOCK | O_CLOEXEC) != 0)
+            throw system_error("can't open a pipe for signals");
+        signal_write_end = ends_[1];
+    }
+    ~signal_pipe() override {
+        signal_write_end = -1;
+        close(ends_[0]);
+        close(ends_[1]);
+    }
+    ACE_HANDLE get_handle() const override { return ends_[0]; }
+    int handle_input(ACE_HANDLE) override {
+        char bytes[64];
+        while (read(ends_[0], bytes, sizeof bytes) > 0) {
+        }
+        return 0;
+    }
+
+private:
+    int ends_[2] = {-1, -1};
+};
+
+event_loop::event_loop(std::size_t max_handles)
     : reactor_(std::make_unique<ACE_Reactor>(
-          new ACE_Dev_Poll_Reactor(MAX_HANDLES, true), true)) {
+          new ACE_Dev_Poll_Reactor(max_handles, true), true)),
+      signals_(std::make_unique<signal_pipe>()) {
     std::signal(SIGPIPE, SIG_IGN);
+    reactor_->register_handler(signals_.get(), ACE_Event_Handler::READ_MASK);
 }
 
-event_loop::~event_loop() = default;
+event_loop::~event_loop() {
+    reactor_->remove_handler(signals_.get(),
+                             ACE_Event_Handler::ALL_EVENTS_MASK |
+                                 ACE_Event_Handler::DONT_CALL);
+}
 
 mono_time event_loop::now() {
     return std::chrono::time_point_cast<millis>(
@@ -86,10 +129,20 @@
 void event_loop::on_signals(callback leave, callback dump) {
     leave_ = std::move(leave);
     dump_ = std::move(dump);
-    const auto on_leave = [](int) { leave_signals = leave_signals + 1; };
+    const auto on_leave = [](int) {
+        leave_signals = leave_signals + 1;
+        wake_reactor();
+    };
     std::signal(SIGTERM, on_leave);
     std::signal(SIGINT, on_leave);
-    std::signal(SIGUSR1, [](int) { dump_signals = dump_signals + 1; });
+    std::signal(SIGUSR1, [](int) {
+        dump_signals = dump_signals + 1;
+        wake_reactor();
+    });
+    std::signal(SIGHUP, [](int) {
+        reload_signals = reload_signals + 1;
+        wake_reactor();
+    });
 }
 
 void event_loop::run_deferred() {
@@ -103,20 +156,27 @@
 
 void event_loop::run() {
     while (!stopped_) {
-        ACE_Time_Value wait(
-            0, static_cast<suseconds_t>(wait_ms() * MICROS_A_MILLI));
+        ACE_Time_Value wait;
+        wait.msec(static_cast<long>(wait_ms()));
         reactor_->handle_events(&wait);
         run_timers();
         run_deferred();
-        if (leave_signals > 0 && leave_) {
-            leave_signals = 0;
-            leave_();
-        }
-        if (dump_signals > 0 && dump_) {
-            dump_signals = 0;
-            dump_();
-        }
+        run_signals();
     }
 }
 
+void event_loop::run_signals() {
+    const auto take = [](volatile std::sig_atomic_t& count,
+                         const callback& call) {
+        if (count == 0)
+            return;
+        count = 0;
+        if (call)
+            call();
+    };
+    take(leave_signals, leave_);
+    take(dump_signals, dump_);
+    take(reload_signals, reload_);
+}
+
 } // namespace rattan
--- a/src/net/event_loop.hpp
+++ b/src/net/event_loop.hpp
@@ -12,12 +12,16 @@
 
 namespace rattan {
 
+/** Descriptors to watch where the settings give no limit. */
+constexpr std::size_t DEFAULT_MAX_HANDLES = 8192;
+
 /** Runs everything of a process on an ACE reactor (epoll). */
 class event_loop {
 public:
     using callback = std::function<void()>;
 
-    event_loop();
+    /** @param max_handles Most descriptors that the reactor watches. */
+    explicit event_loop(std::size_t max_handles = DEFAULT_MAX_HANDLES);
     ~event_loop();
     event_loop(const event_loop&) = delete;
     event_loop& operator=(const event_loop&) = delete;
@@ -52,6 +56,9 @@
     /** Calls on SIGTERM and SIGINT (leave) and SIGUSR1 (dump). */
     void on_signals(callback leave, callback dump);
 
+    /** Calls on SIGHUP: the settings file has changed. */
+    void on_reload(callback reload) { reload_ = std::move(reload); }
+
 private:
     /** A call that is due at a time; the id tells equal times apart. */
     struct timer_key {
@@ -61,6 +68,8 @@
         auto operator<=>(const timer_key&) const = default;
     };
 
+    /** Calls what a signal asked for. */
+    void run_signals();
     /** Calls what was deferred up to now. */
     void run_deferred();
     /** Calls the timers that are due. */
@@ -68,13 +77,18 @@
     /** Milliseconds until the next timer, rounded up. */
     [[nodiscard]] std::int64_t wait_ms() const;
 
+    /** Wakes the reactor when a signal came. */
+    class signal_pipe;
+
     std::unique_ptr<ACE_Reactor> reactor_;
+    std::unique_ptr<signal_pipe> signals_;
     std::map<timer_key, callback> timers_;
     std::map<long, timer_key> timer_keys_; ///< For cancelling.
     long next_timer_ = 1;
     std::deque<callback> deferred_;
     callback leave_;
     callback dump_;
+    callback reload_;
     bool stopped_ = false;
 };
 
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -234,6 +234,8 @@
     if (!call.request_id.empty())
         state.headers = curl_slist_append(
             state.headers, ("X-Request-Id: " + call.request_id).c_str());
+    for (const std::string& line : call.headers)
+        state.headers = curl_slist_append(state.headers, line.c_str());
     if (!call.authorization.empty())
         state.headers = curl_slist_append(
             state.headers, ("Authorization: " + call.authorization).c_str());
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-constexpr millis HOUSEKEEPING{250}; ///< Ends idle connections.
+constexpr millis HOUSEKEEPING{1000}; ///< Ends idle connections.
 
 /** One request while it is read, handled and answered. */
 struct exchange_state {
@@ -94,7 +94,7 @@
                              void** state, MHD_RequestTerminationCode code);
 
     /** Reads the head of a new request. */
-    static std::shared_ptr<exchange_state>*
+    std::shared_ptr<exchange_state>*
     begin(MHD_Connection* connection, const char* url, const char* method);
     /** Hands a whole request to the handler. */
     MHD_Result dispatch(const std::shared_ptr<exchange_state>& exchange);
@@ -156,6 +156,10 @@
     exchange->request.authorization =
         header(connection, MHD_HTTP_HEADER_AUTHORIZATION);
     exchange->request.request_id = header(connection, "X-Request-Id");
+    std::string host = header(connection, MHD_HTTP_HEADER_HOST);
+    exchange->request.host = host.substr(0, host.find(':'));
+    for (const std::string& name : limits_.kept_headers)
+        exchange->request.headers[name] = header(connection, name.c_str());
     exchange->request.attempt = header(connection, "X-Attempt") == "1" ? 1 : 0;
     MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &add_query,
                               &exchange->request.query);
@@ -168,7 +172,7 @@
                                          size_t* data_size, void** state) {
     auto* server = static_cast<body*>(self);
     if (*state == nullptr) {
-        *state = begin(connection, url, method);
+        *state = server->begin(connection, url, method);
         return MHD_YES;
     }
     auto& exchange = *static_cast<std::shared_ptr<exchange_state>*>(*state);
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace rattan {
 
@@ -17,6 +18,7 @@
     unsigned connections_per_ip = 0;      ///< 0: no bound.
     unsigned idle_s = 30;                 ///< An idle or slow connection ends.
     size_t connection_bytes = 32U << 10U; ///< Headers and fields.
+    std::vector<std::string> kept_headers; ///< Handed on with a request.
 };
 
 /** Listens and hands each whole request to a handler. */
--- a/src/net/http_type.hpp
+++ b/src/net/http_type.hpp
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <string>
+#include <vector>
 
 namespace rattan {
 
@@ -16,6 +17,9 @@
     std::string body;
     std::string authorization;
     std::string request_id; ///< From `X-Request-Id`; empty when not given.
+    std::string host; ///< From `Host`, without a port.
+    /** The headers that the server was asked to keep, by their names. */
+    std::map<std::string, std::string> headers;
     /** From `X-Attempt`: 1 says that this id was never sent before. */
     int attempt = 0;
 };
@@ -36,7 +40,8 @@
     std::string body;
     std::string request_id;    ///< Sent as `X-Request-Id` when given.
     std::string authorization; ///< Sent as `Authorization` when given.
-    millis timeout{1000};      ///< For the whole call.
+    std::vector<std::string> headers; ///< More headers, as `Name: value`.
+    millis timeout{1000};             ///< For the whole call.
     millis connect_timeout{500};
 };
 
--- a/src/net/rpc_client.cpp
+++ b/src/net/rpc_client.cpp
@@ -17,8 +17,9 @@
 
 } // namespace
 
-rpc_client::rpc_client(event_loop& loop, std::string address)
-    : loop_(loop), address_(std::move(address)),
+rpc_client::rpc_client(event_loop& loop, std::string address,
+                       on_timeout timeouts)
+    : loop_(loop), address_(std::move(address)), timeouts_(timeouts),
       jitter_(std::hash<std::string>()(address_) + std::random_device()()) {}
 
 rpc_client::~rpc_client() {
@@ -45,6 +46,8 @@
         const bool sent = unsent_.erase(id) == 0;
         finish(id,
                {.result = sent ? rpc_result::unknown : rpc_result::not_sent});
+        if (timeouts_ == on_timeout::reconnect)
+            drop_connection();
     });
     pending_[id] = {std::move(done), timer};
     if (stream_ && stream_->is_open()) {
@@ -132,6 +135,20 @@
         finish(id, {.result = rpc_result::not_sent});
 }
 
+void rpc_client::drop_connection() {
+    if (connecting_ != ACE_INVALID_HANDLE) {
+        loop_.reactor().remove_handler(this,
+                                       ACE_Event_Handler::ALL_EVENTS_MASK |
+                                           ACE_Event_Handler::DONT_CALL);
+        ACE_OS::closesocket(connecting_);
+        connecting_ = ACE_INVALID_HANDLE;
+        connect_failed();
+    } else if (stream_ && stream_->is_open()) {
+        stream_->shut();
+        closed();
+    }
+}
+
 void rpc_client::closed() {
     stream_.reset();
     std::vector<std::int64_t> lost;
--- a/src/net/rpc_client.hpp
+++ b/src/net/rpc_client.hpp
@@ -35,13 +35,20 @@
     }
 };
 
+/** What a call without an answer says about the connection. */
+enum class on_timeout {
+    keep_connection, ///< The peer may just be slow with this call.
+    reconnect,       ///< The connection may have gone silent for good.
+};
+
 /** Keeps one connection, reconnects after a delay, matches answers by id. */
 class rpc_client : public ACE_Event_Handler {
 public:
     using callback = std::function<void(const rpc_answer&)>;
 
     /** @param address IP and port of the peer. */
-    rpc_client(event_loop& loop, std::string address);
+    rpc_client(event_loop& loop, std::string address,
+               on_timeout timeouts = on_timeout::keep_connection);
     ~rpc_client() override;
 
     /**
@@ -72,12 +79,15 @@
     /** Reacts to the end of a connection attempt. */
     void connected();
     void connect_failed();
+    /** Gives up the connection, or the attempt, under a lost answer. */
+    void drop_connection();
     void take_frame(const std::string& frame);
     void closed();
     void finish(std::int64_t id, const rpc_answer& answer);
 
     event_loop& loop_;
     std::string address_;
+    on_timeout timeouts_;
     std::unique_ptr<rpc_stream> stream_;
     ACE_HANDLE connecting_ = ACE_INVALID_HANDLE;
     mono_time next_attempt_{};
--- /dev/null
+++ b/src/platform/target_client.cpp
@@ -0,0 +1,241 @@
+#include "platform/target_client.hpp"
+
+#include "base/log_func.hpp"
+#include "platform/wire_codec.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace rattan::platform {
+
+using namespace dispatch;
+using nlohmann::json;
+
+namespace {
+
+constexpr int HTTP_CONFLICT = 409;
+
+constexpr std::array<std::pair<const char*, order_refusal>, 5> REFUSALS{{
+    {"fence", order_refusal::fence},
+    {"old", order_refusal::old},
+    {"late", order_refusal::late},
+    {"room", order_refusal::room},
+    {"ticket", order_refusal::ticket},
+}};
+
+constexpr std::array<std::pair<const char*, run_end>, 6> ENDS{{
+    {"done", run_end::done},
+    {"failed", run_end::failed},
+    {"stopped", run_end::stopped},
+    {"lapsed", run_end::lapsed},
+    {"broken", run_end::broken},
+    {"alone", run_end::alone},
+}};
+
+std::int64_t whole_in(const json& object, const char* name) {
+    const auto found = object.find(name);
+    return found != object.end() && found->is_number_integer()
+               ? found->get<std::int64_t>()
+               : 0;
+}
+
+order_answer read_order(const http_answer& answer, const json& body) {
+    order_answer out{.answered = answer.outcome == http_outcome::answered,
+                     .sent = answer.outcome != http_outcome::not_sent,
+                     .done = answer.ok()};
+    if (body.is_object())
+        out.clock_ms = whole_in(body, "clockMs");
+    if (answer.outcome != http_outcome::answered || answer.ok())
+        return out;
+    out.refusal = order_refusal::other;
+    if (answer.status != HTTP_CONFLICT || !body.is_object())
+        return out;
+    const std::string reason =
+        body.contains("reason") && body["reason"].is_string()
+            ? body["reason"].get<std::string>()
+            : "";
+    for (const auto& [name, refusal] : REFUSALS)
+        if (reason == name)
+            out.refusal = refusal;
+    return out;
+}
+
+http_call make_call(const target_address& target, const char* path,
+                    const json& body, millis timeout) {
+    return {.method = "POST",
+            .url = "http://" + target.address + path,
+            .body = body.dump(),
+            .headers = {"X-Rattanknot-Target-Instance: " + target.id.value},
+            .timeout = timeout};
+}
+
+void send_order(http_client& http, const http_call& call,
+                target_client::order_callback done) {
+    http.call(call, [done = std::move(done)](const http_answer& answer) {
+        done(read_order(answer, json::parse(answer.body, nullptr, false)));
+    });
+}
+
+/** Reads `[task, run, checkpoint, percent, figure]`. */
+std::optional<listed_run> read_run(const json& row) {
+    if (!row.is_array() || row.size() < 4 || !row[0].is_string() ||
+        !row[1].is_number_integer())
+        return std::nullopt;
+    const auto task = parse_task_name(row[0].get<std::string>());
+    if (!task)
+        return std::nullopt;
+    listed_run run{.task = *task, .run = row[1].get<std::int32_t>()};
+    if (row[2].is_string())
+        run.checkpoint = row[2].get<std::string>();
+    if (row[3].is_number())
+        run.percent = static_cast<std::int32_t>(row[3].get<double>());
+    if (row.size() > 4 && row[4].is_number())
+        run.figure = static_cast<std::int64_t>(row[4].get<double>());
+    return run;
+}
+
+/** Reads `[number, task, run, how, checkpoint]`. */
+std::optional<listed_end> read_end(const json& row) {
+    if (!row.is_array() || row.size() < 4 || !row[0].is_number_integer() ||
+        !row[1].is_string() || !row[2].is_number_integer() ||
+        !row[3].is_string())
+        return std::nullopt;
+    const auto task = parse_task_name(row[1].get<std::string>());
+    if (!task)
+        return std::nullopt;
+    listed_end end{.number = row[0].get<std::int64_t>(),
+                   .task = *task,
+                   .run = row[2].get<std::int32_t>()};
+    const std::string how = row[3].get<std::string>();
+    const auto* found = std::find_if(ENDS.begin(), ENDS.end(),
+                                     [&](auto& e) { return how == e.first; });
+    if (found == ENDS.end())
+        return std::nullopt;
+    end.end = found->second;
+    if (row.size() > 4 && row[4].is_string())
+        end.checkpoint = row[4].get<std::string>();
+    return end;
+}
+
+/** Reads the rows of a list; logs those that can't be read. */
+template <typename Row>
+std::vector<Row> read_rows(const json& body, const char* name,
+                           std::optional<Row> (*read)(const json&)) {
+    std::vector<Row> out;
+    const auto rows = body.find(name);
+    if (rows == body.end() || !rows->is_array())
+        return out;
+    for (const json& row : *rows) {
+        if (auto read_row = read(row))
+            out.push_back(std::move(*read_row));
+        else
+            log_event(log_level::warning, "row_skipped",
+                      {{"list", name}, {"row", row.dump().substr(0, 200)}});
+    }
+    return out;
+}
+
+} // namespace
+
+look_answer decode_look(const std::string& text) {
+    look_answer out;
+    const json body = json::parse(text, nullptr, false);
+    if (!body.is_object())
+        return out;
+    out.order.clock_ms = whole_in(body, "clockMs");
+    out.born = whole_in(body, "born");
+    out.running = read_rows<listed_run>(body, "running", &read_run);
+    out.ended = read_rows<listed_end>(body, "finished", &read_end);
+    return out;
+}
+
+void target_client::start(const target_address& target,
+                          const start_order& order, millis timeout,
+                          order_callback done) {
+    json body = {{"task", task_name(order.task)},
+                 {"run", order.run},
+                 {"taskSpec", order.payload},
+                 {"untilMs", order.until_ms},
+                 {"fencingToken", order.fence}};
+    if (!order.checkpoint.empty())
+        body["checkpoint"] = order.checkpoint;
+    if (!order.ticket.empty())
+        body["ticket"] = order.ticket;
+    send_order(http_, make_call(target, "/-/run-start", body, timeout),
+               std::move(done));
+}
+
+void target_client::stop(const target_address& target, const task_id& task,
+                         std::int32_t run, std::int64_t fence, millis timeout,
+                         order_callback done) {
+    const json body = {
+        {"task", task_name(task)}, {"run", run}, {"fencingToken", fence}};
+    send_order(http_, make_call(target, "/-/run-stop", body, timeout),
+               std::move(done));
+}
+
+void target_client::pace(const target_address& target, const task_id& task,
+                         std::int32_t run, int percent, std::int64_t fence,
+                         millis timeout, order_callback done) {
+    const json body = {{"task", task_name(task)},
+                       {"run", run},
+                       {"percent", percent},
+                       {"fencingToken", fence}};
+    send_order(http_, make_call(target, "/-/pace", body, timeout),
+               std::move(done));
+}
+
+void target_client::look(const target_address& target, const look_order& order,
+                         std::function<void(const look_answer&)> done) {
+    json body = {{"fencingToken", order.fence}, {"lastSeen", order.last_seen}};
+    if (order.until_ms > 0)
+        body["untilMs"] = order.until_ms;
+    if (order.wait.count() > 0)
+        body["waitMs"] = order.wait.count();
+    http_.call(make_call(target, "/-/hold", body, order.timeout),
+               [done = std::move(done)](const http_answer& answer) {
+                   look_answer out;
+                   if (answer.ok())
+                       out = decode_look(answer.body);
+                   const std::int64_t clock = out.order.clock_ms;
+                   out.order = read_order(
+                       answer, answer.ok() ? json() : json::parse(answer.body,
+                                                                  nullptr,
+                                                                  false));
+                   if (answer.ok())
+                       out.order.clock_ms = clock;
+                   done(out);
+               });
+}
+
+void ask_advice(http_client& http, const std::string& address,
+                const std::string& step,
+                const std::vector<std::string>& targets, millis timeout,
+                std::function<void(const advice_answer&)> done) {
+    const json body = {{"step", step}, {"workers", targets}};
+    http.call({.method = "POST",
+               .url = "http://" + address + "/-/advise",
+               .body = body.dump(),
+               .timeout = timeout},
+              [done = std::move(done)](const http_answer& answer) {
+                  advice_answer out{.ok = answer.ok()};
+                  const json reply = json::parse(answer.body, nullptr, false);
+                  if (!out.ok || !reply.is_object() || !reply.contains("good") ||
+                      !reply["good"].is_array()) {
+                      out.ok = false;
+                      return done(out);
+                  }
+                  for (const json& row : reply["good"])
+                      if (row.is_array() && row.size() >= 2 &&
+                          row[0].is_string() && row[1].is_string())
+                          out.good.push_back({{row[0].get<std::string>()},
+                                              row[1].get<std::string>()});
+                  out.valid = millis(whole_in(reply, "validMs"));
+                  done(out);
+              });
+}
+
+} // namespace rattan::platform
