Keep curl's socket handlers registered under their own objects

Cause: an empty event mask removed a socket from the poll set but left it in the reactor's table; the later removal failed, and the next socket with that number was dispatched to a deleted handler. Ruled out: RPC streams (trace). A test of it is still missing.

--- a/src/dispatch/advice_book.hpp
+++ b/src/dispatch/advice_book.hpp
@@ -33,9 +33,9 @@
 /** A host that can ask; the service answers its calls one at a time. */
 struct advice_lane {
     host_id host;
-    int calls = 0;         ///< Under way.
-    bool slow = false;     ///< One of them takes long.
-    mono_time resting{};   ///< After a failure: unused before.
+    int calls = 0;       ///< Under way.
+    bool slow = false;   ///< One of them takes long.
+    mono_time resting{}; ///< After a failure: unused before.
 };
 
 /**
@@ -53,9 +53,7 @@
     /** A call has ended. */
     void free_lane(const host_id& host, bool slow, bool failed, mono_time now);
 
-    [[nodiscard]] step_advice& of(const step_ref& step) {
-        return steps_[step];
-    }
+    [[nodiscard]] step_advice& of(const step_ref& step) { return steps_[step]; }
 
     /** Forgets a step that is done or given up. */
     void forget(const job_id& job);
--- a/src/dispatch/dispatch_type.hpp
+++ b/src/dispatch/dispatch_type.hpp
@@ -19,17 +19,17 @@
 /** Tasks of one kind that run side by side. */
 struct step_spec {
     std::int32_t count = 0;
-    resources each;             ///< Asked for by one task.
-    millis estimate{0};         ///< Rough; may be off by half and more.
-    std::vector<int> after;     ///< Earlier steps that must be done first.
-    bool checkpoints = false;   ///< Saves its progress while it runs.
-    bool gang = false;          ///< Works only while all tasks are present.
-    bool one_rack = false;      ///< Slower when spread over several racks.
-    bool copies_allowed = false;///< Several runs of a task may overlap.
-    bool lasting = false;       ///< Runs until cancelled.
-    bool filling = false;       ///< Takes processor time that others leave.
-    std::string required_label; ///< Empty: any target.
-    std::string near_rack;      ///< Rack of the data; slower elsewhere.
+    resources each;                ///< Asked for by one task.
+    millis estimate{0};            ///< Rough; may be off by half and more.
+    std::vector<int> after;        ///< Earlier steps that must be done first.
+    bool checkpoints = false;      ///< Saves its progress while it runs.
+    bool gang = false;             ///< Works only while all tasks are present.
+    bool one_rack = false;         ///< Slower when spread over several racks.
+    bool copies_allowed = false;   ///< Several runs of a task may overlap.
+    bool lasting = false;          ///< Runs until cancelled.
+    bool filling = false;          ///< Takes processor time that others leave.
+    std::string required_label;    ///< Empty: any target.
+    std::string near_rack;         ///< Rack of the data; slower elsewhere.
     std::int32_t spread_limit = 0; ///< Most tasks on one target; 0: any.
     std::string image;             ///< Tasks of one image behave alike.
     millis tail_target{0};         ///< Of a serving task; 0: none.
@@ -119,7 +119,7 @@
     bool draining = false;
     resources capacity;
     std::vector<std::string> labels;
-    std::string rack; ///< Empty when no label names one.
+    std::string rack;      ///< Empty when no label names one.
     std::int64_t born = 0; ///< Tells lives of one id apart.
 };
 
--- a/src/dispatch/job_book.cpp
+++ b/src/dispatch/job_book.cpp
@@ -12,13 +12,12 @@
 /** Tells whether all steps that a step waits for are done. */
 bool predecessors_done(const job_spec& spec, const repeat_entry& repeat,
                        size_t step) {
-    return std::all_of(spec.steps[step].after.begin(),
-                       spec.steps[step].after.end(), [&](int earlier) {
-                           const auto& e =
-                               repeat.steps[static_cast<size_t>(earlier)];
-                           return e.done ==
-                                  static_cast<std::int32_t>(e.tasks.size());
-                       });
+    return std::all_of(
+        spec.steps[step].after.begin(), spec.steps[step].after.end(),
+        [&](int earlier) {
+            const auto& e = repeat.steps[static_cast<size_t>(earlier)];
+            return e.done == static_cast<std::int32_t>(e.tasks.size());
+        });
 }
 
 } // namespace
--- a/src/dispatch/job_book.hpp
+++ b/src/dispatch/job_book.hpp
@@ -35,9 +35,9 @@
     std::vector<task_entry> tasks;
     std::int32_t done = 0;
     std::int32_t waiting = 0;
-    bool open = false;             ///< All steps before it are done.
-    std::int32_t failed_runs = 0;  ///< Of a gang.
-    std::int32_t last_failed = 0;  ///< Run number of the last of these.
+    bool open = false;            ///< All steps before it are done.
+    std::int32_t failed_runs = 0; ///< Of a gang.
+    std::int32_t last_failed = 0; ///< Run number of the last of these.
     mono_time opened{};
 };
 
--- a/src/dispatch/order_type.hpp
+++ b/src/dispatch/order_type.hpp
@@ -19,8 +19,8 @@
     task_id task;
     std::int32_t run = 0;
     std::string payload;
-    std::string checkpoint; ///< Empty: from the beginning.
-    std::string ticket;     ///< Empty: the queue needs none.
+    std::string checkpoint;    ///< Empty: from the beginning.
+    std::string ticket;        ///< Empty: the queue needs none.
     std::int64_t until_ms = 0; ///< On the target's clock.
     std::int64_t fence = 0;
 };
@@ -39,8 +39,8 @@
 /** How an order ended. */
 struct order_answer {
     bool answered = false; ///< An answer came.
-    bool sent = false; ///< It may have reached the target.
-    bool done = false; ///< Answered with success.
+    bool sent = false;     ///< It may have reached the target.
+    bool done = false;     ///< Answered with success.
     order_refusal refusal = order_refusal::none;
     std::int64_t clock_ms = 0; ///< 0: the answer carried none.
 };
--- a/src/dispatch/owner_base.cpp
+++ b/src/dispatch/owner_base.cpp
@@ -77,9 +77,8 @@
     jobs_.open_due(job, clock.wall_ms, clock.now);
     schedule_due_ = true;
     output_.log("job_taken", id,
-                "queue=" + job.record.queue.value +
-                    " steps=" + std::to_string(job.record.spec.steps.size()) +
-                    " age_ms=" +
+                "queue=" + job.record.queue.value + " steps=" +
+                    std::to_string(job.record.spec.steps.size()) + " age_ms=" +
                     std::to_string(clock.wall_ms - job.record.accepted_ms));
 }
 
@@ -120,8 +119,7 @@
     // An earlier owner may have sent a lease as long as it was confirmed; a
     // target's clock may be slow.
     const auto longest = static_cast<std::int64_t>(
-        static_cast<double>(
-            (settings_.unconfirmed + settings_.lease).count()) /
+        static_cast<double>((settings_.unconfirmed + settings_.lease).count()) /
         SLOWEST_CLOCK);
     suspects_until_ =
         clock.now + millis(longest) + settings_.stop_time + LEASE_MARGIN;
@@ -136,8 +134,8 @@
                     const step_spec& spec = job.record.spec.steps[s];
                     target_state* target = targets_.find(task.target);
                     if (target == nullptr) {
-                        target = &targets_.enlist({.id = task.target,
-                                                   .born = task.born});
+                        target = &targets_.enlist(
+                            {.id = task.target, .born = task.born});
                         target->listed = false;
                     }
                     targets_.add_run(
@@ -198,12 +196,12 @@
                 {.key = progress_key(id), .value = encode_progress(*job)});
             if (job->ended() && live_.erase(id) > 0) {
                 advice_.forget(id);
-                output_.log("job_ended", id,
-                            "state=" +
-                                std::to_string(static_cast<int>(job->state)) +
-                                " age_ms=" +
-                                std::to_string(clock.wall_ms -
-                                               job->record.accepted_ms));
+                output_.log(
+                    "job_ended", id,
+                    "state=" + std::to_string(static_cast<int>(job->state)) +
+                        " age_ms=" +
+                        std::to_string(clock.wall_ms -
+                                       job->record.accepted_ms));
             }
         }
     storing_ends_.clear();
--- a/src/dispatch/owner_base.hpp
+++ b/src/dispatch/owner_base.hpp
@@ -49,9 +49,9 @@
     millis lease{3500};
     /** Orders may be sent so long after the store last confirmed us. */
     millis unconfirmed{3000};
-    millis stop_time{200};  ///< A stopped task is gone after this.
+    millis stop_time{200};      ///< A stopped task is gone after this.
     millis state_kept{120'000}; ///< Ended jobs are shown this long.
-    millis harm_time{4000}; ///< A tail may be over its target this long.
+    millis harm_time{4000};     ///< A tail may be over its target this long.
 };
 
 /** What the owner knows of time; given with each event. */
@@ -86,9 +86,8 @@
 
     /** @name Answers to its orders. */
     ///@{
-    void started(const target_id& target, const task_id& task,
-                 std::int32_t run, const order_answer& answer,
-                 const owner_clock& clock);
+    void started(const target_id& target, const task_id& task, std::int32_t run,
+                 const order_answer& answer, const owner_clock& clock);
     void stop_answered(const target_id& target, const task_id& task,
                        std::int32_t run, const order_answer& answer,
                        const owner_clock& clock);
--- a/src/dispatch/owner_look.cpp
+++ b/src/dispatch/owner_look.cpp
@@ -41,9 +41,8 @@
                    item.second.phase == run_phase::suspect;
         });
     const bool serving = std::any_of(
-        target.runs.begin(), target.runs.end(), [](const auto& item) {
-            return item.second.tail_target.count() > 0;
-        });
+        target.runs.begin(), target.runs.end(),
+        [](const auto& item) { return item.second.tail_target.count() > 0; });
     millis wait{0};
     if (!target.runs.empty() && settled && !unsure && target.answers)
         wait = serving && target.filling_cores > 0 ? SERVING_WAIT : BUSY_WAIT;
@@ -172,15 +171,14 @@
     const job_entry* job = jobs_.find(listed.task.step.job);
     output_.log("run_unknown", listed.task.step.job,
                 "target=" + target.entry.id.value);
-    targets_.add_run(
-        target, listed.task,
-        {.run = listed.run,
-         .phase = run_phase::stopping,
-         .each = spec != nullptr ? spec->each : resources{},
-         .filling = spec != nullptr && spec->filling,
-         .organisation =
-             job != nullptr ? job->record.organisation : organisation_id{},
-         .since = clock.now});
+    targets_.add_run(target, listed.task,
+                     {.run = listed.run,
+                      .phase = run_phase::stopping,
+                      .each = spec != nullptr ? spec->each : resources{},
+                      .filling = spec != nullptr && spec->filling,
+                      .organisation = job != nullptr ? job->record.organisation
+                                                     : organisation_id{},
+                      .since = clock.now});
 }
 
 void owner::new_life(target_state& target, std::int64_t born,
--- a/src/dispatch/owner_start.cpp
+++ b/src/dispatch/owner_start.cpp
@@ -16,8 +16,8 @@
 constexpr double ASK_MARGIN_QUICK = 2.0;
 constexpr double ASK_MARGIN_SLOW = 4.0;
 constexpr size_t FEWEST_ASKED = 8;
-constexpr size_t MOST_ASKED = 100; ///< Of one call to the advice service.
-constexpr millis ADVICE_SLACK{1500}; ///< On top of the work of a call.
+constexpr size_t MOST_ASKED = 100;      ///< Of one call to the advice service.
+constexpr millis ADVICE_SLACK{1500};    ///< On top of the work of a call.
 constexpr std::int32_t MOST_SLOTS = 64; ///< Counted on one target.
 
 std::int64_t parts_in(std::int64_t room, std::int64_t each) {
@@ -62,10 +62,9 @@
                     : job.record.spec.first_due_ms +
                           number * job.record.spec.interval.count();
             const std::int64_t age = clock.wall_ms - begin;
-            const int lateness =
-                age < objective                       ? 0
-                : age < objective * WORTHLESS_AFTER ? 1
-                                                      : 2;
+            const int lateness = age < objective                     ? 0
+                                 : age < objective * WORTHLESS_AFTER ? 1
+                                                                     : 2;
             for (size_t s = 0; s < repeat.steps.size(); ++s) {
                 if (!repeat.steps[s].open || repeat.steps[s].waiting == 0)
                     continue;
@@ -132,10 +131,8 @@
 
 resources owner::quota_left(const runnable_step& step) const {
     constexpr std::int64_t ALL = std::numeric_limits<std::int64_t>::max();
-    const organisation_id& name =
-        jobs_.find(step.ref.job)->record.organisation;
-    const organisation_config* organisation =
-        find_organisation(config_, name);
+    const organisation_id& name = jobs_.find(step.ref.job)->record.organisation;
+    const organisation_config* organisation = find_organisation(config_, name);
     resources left{ALL, ALL, ALL};
     if (organisation == nullptr)
         return left;
@@ -276,9 +273,8 @@
     step_advice& advice = advice_.of(step.ref);
     if (advice.asking || clock.now < advice.retry_at)
         return;
-    const bool slow =
-        step.queue->advice->decide_ms >=
-        static_cast<double>(advice_book::SLOW_CALL.count());
+    const bool slow = step.queue->advice->decide_ms >=
+                      static_cast<double>(advice_book::SLOW_CALL.count());
     const double margin = slow ? ASK_MARGIN_SLOW : ASK_MARGIN_QUICK;
     std::vector<std::pair<std::int32_t, const target_state*>> candidates;
     for (const auto& [id, target] : targets_.all()) {
--- a/src/dispatch/owner_stop.cpp
+++ b/src/dispatch/owner_stop.cpp
@@ -53,7 +53,8 @@
         !answer.done)
         return;
     found->second.stop_acked = clock.now;
-    target->look_due = std::min(target->look_due, clock.now + settings_.stop_time);
+    target->look_due =
+        std::min(target->look_due, clock.now + settings_.stop_time);
 }
 
 void owner::stop_job(const job_entry& job, const owner_clock& clock) {
--- a/src/dispatch/record_codec.cpp
+++ b/src/dispatch/record_codec.cpp
@@ -21,13 +21,13 @@
 }
 
 json encode_step(const step_spec& step) {
-    return json::array(
-        {step.count, step.each.milli_cores, step.each.memory_mib,
-         step.each.accelerators, step.estimate.count(), step.after,
-         step.checkpoints, step.gang, step.one_rack, step.copies_allowed,
-         step.lasting, step.filling, step.required_label, step.near_rack,
-         step.spread_limit, step.image, step.tail_target.count(),
-         step.max_unavailable});
+    return json::array({step.count, step.each.milli_cores, step.each.memory_mib,
+                        step.each.accelerators, step.estimate.count(),
+                        step.after, step.checkpoints, step.gang, step.one_rack,
+                        step.copies_allowed, step.lasting, step.filling,
+                        step.required_label, step.near_rack, step.spread_limit,
+                        step.image, step.tail_target.count(),
+                        step.max_unavailable});
 }
 
 step_spec decode_step(const json& row) {
@@ -52,9 +52,8 @@
 }
 
 json encode_task(size_t index, const task_entry& task) {
-    return json::array({index, static_cast<int>(task.phase),
-                        task.run, task.failed, task.checkpoint, task.target,
-                        task.born});
+    return json::array({index, static_cast<int>(task.phase), task.run,
+                        task.failed, task.checkpoint, task.target, task.born});
 }
 
 json encode_tasks(const step_entry& step) {
--- a/src/dispatch/route_func.hpp
+++ b/src/dispatch/route_func.hpp
@@ -12,8 +12,7 @@
                                std::string_view path);
 
 /** The queue of a name, or null. */
-const queue_config* find_queue(const cell_config& config,
-                               const queue_id& name);
+const queue_config* find_queue(const cell_config& config, const queue_id& name);
 
 /** The organisation of a name, or null. */
 const organisation_config* find_organisation(const cell_config& config,
--- a/src/dispatch/target_book.hpp
+++ b/src/dispatch/target_book.hpp
@@ -44,8 +44,8 @@
     target_entry entry;
     bool listed = true; ///< The platform's list still names it.
     std::map<task_id, run_entry> runs;
-    resources used;                ///< Without the processors of fillers.
-    std::int64_t filling_cores = 0;///< Milli-cores asked by fillers.
+    resources used;                 ///< Without the processors of fillers.
+    std::int64_t filling_cores = 0; ///< Milli-cores asked by fillers.
 
     std::int64_t clock_ms = 0; ///< The target's clock, as last told.
     mono_time clock_at{};      ///< When it was told.
--- a/src/front/front_main.cpp
+++ b/src/front/front_main.cpp
@@ -34,8 +34,7 @@
     gflags::SetVersionString(RATTAN_VERSION);
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     try {
-        const auto settings =
-            platform::load_platform_settings(settings_path());
+        const auto settings = platform::load_platform_settings(settings_path());
         log_open({.program = "rattan_front"});
         event_loop loop(settings.max_descriptors - FILE_DESCRIPTORS);
         front::front_service service(loop, settings);
--- a/src/front/front_service.cpp
+++ b/src/front/front_service.cpp
@@ -68,7 +68,8 @@
                             owner_->set_hosts();
                     }}),
       operator_(
-          loop, store_, {.topic = platform::OPERATOR_TOPIC, .wait = millis(700)},
+          loop, store_,
+          {.topic = platform::OPERATOR_TOPIC, .wait = millis(700)},
           [this](const keyed_record& record) { take_operator_record(record); },
           [this](const std::set<std::string>& keys) {
               operator_records_loaded(keys);
@@ -95,12 +96,11 @@
         });
     callers_ = std::make_unique<http_server>(
         loop_, settings_.client_address,
-        http_limits{
-            .body_bytes = 1U << 20U,
-            .connections = static_cast<unsigned>(settings_.max_descriptors -
-                                                 2 * KEPT_DESCRIPTORS),
-            .idle_s = CALLER_IDLE_S,
-            .kept_headers = {platform::DEADLINE_HEADER}},
+        http_limits{.body_bytes = 1U << 20U,
+                    .connections = static_cast<unsigned>(
+                        settings_.max_descriptors - 2 * KEPT_DESCRIPTORS),
+                    .idle_s = CALLER_IDLE_S,
+                    .kept_headers = {platform::DEADLINE_HEADER}},
         [this](const http_request& request, http_server::responder answer) {
             on_caller(request, std::move(answer));
         });
@@ -196,15 +196,15 @@
             {request.job}, {request.organisation}));
         answer(wire::status::OK, wire_encode(reply));
     });
-    rpc_->on(wire::method::WAITING, [this](const std::string& body,
-                                           const auto& answer) {
-        const auto request = wire_decode<wire::waiting_request>(body);
-        if (!owner_ || !owner_->serving())
-            return answer(wire::status::UNAVAILABLE, "");
-        wire::waiting_reply reply;
-        reply.jobs = owner_->decisions().waiting_in({request.queue});
-        answer(wire::status::OK, wire_encode(reply));
-    });
+    rpc_->on(wire::method::WAITING,
+             [this](const std::string& body, const auto& answer) {
+                 const auto request = wire_decode<wire::waiting_request>(body);
+                 if (!owner_ || !owner_->serving())
+                     return answer(wire::status::UNAVAILABLE, "");
+                 wire::waiting_reply reply;
+                 reply.jobs = owner_->decisions().waiting_in({request.queue});
+                 answer(wire::status::OK, wire_encode(reply));
+             });
 }
 
 void front_service::on_caller(const http_request& request,
@@ -212,8 +212,7 @@
     ++metrics_.counter("rattan_requests_total");
     if (config_.version == 0)
         return answer(refusal(503));
-    const queue_config* queue =
-        find_queue(config_, request.host, request.path);
+    const queue_config* queue = find_queue(config_, request.host, request.path);
     if (queue == nullptr)
         return answer(refusal(404));
     auto caller = std::make_shared<call>(call{.request = request,
@@ -255,25 +254,22 @@
                   {{"job", caller->job.value}, {"cause", failure.what()}});
         return caller->answer(refusal(400));
     }
-    writer_.write(job_key(caller->job), encode_job(record),
-                  [this, caller](write_result result) {
-                      reply_write(caller, result);
-                  });
+    writer_.write(
+        job_key(caller->job), encode_job(record),
+        [this, caller](write_result result) { reply_write(caller, result); });
 }
 
 void front_service::cancel(const std::shared_ptr<call>& caller) {
-    writer_.write(cancel_key(caller->job), "1",
-                  [this, caller](write_result result) {
-                      reply_write(caller, result);
-                  });
+    writer_.write(
+        cancel_key(caller->job), "1",
+        [this, caller](write_result result) { reply_write(caller, result); });
 }
 
 void front_service::reply_write(const std::shared_ptr<call>& caller,
                                 write_result result) {
     static constexpr int STATUS[] = {200, 503, 504};
     const int status = STATUS[static_cast<int>(result)];
-    const std::int64_t took =
-        (event_loop::now() - caller->arrived).count();
+    const std::int64_t took = (event_loop::now() - caller->arrived).count();
     metrics_.histogram("rattan_accept_micros").record(took * 1000);
     log_event(log_level::info, "caller_answered",
               {{"job", caller->job.value},
@@ -317,9 +313,9 @@
 
 void front_service::count_waiting(const std::shared_ptr<call>& caller) {
     if (owner_ && owner_->serving())
-        return caller->answer({.body = platform::encode_waiting(
-                                   owner_->decisions().waiting_in(
-                                       caller->queue.name))});
+        return caller->answer(
+            {.body = platform::encode_waiting(
+                 owner_->decisions().waiting_in(caller->queue.name))});
     const std::string& address = members_.owner().address;
     if (owner_ || address.empty())
         return caller->answer(refusal(503));
@@ -344,8 +340,7 @@
     const mono_time begun = event_loop::now();
     loop_.every(LEAVE_POLL, [this, begun] {
         const millis passed = event_loop::now() - begun;
-        const bool idle =
-            callers_->in_flight() == 0 && writer_.pending() == 0;
+        const bool idle = callers_->in_flight() == 0 && writer_.pending() == 0;
         if ((idle && passed >= LEAVE_SHORTEST) ||
             passed >= settings_.grace - LEAVE_SPARE) {
             log_event(log_level::info, "stopped", {});
--- a/src/front/front_service.hpp
+++ b/src/front/front_service.hpp
@@ -1,4 +1,5 @@
-/** @file One process an entry host: callers' requests and, perhaps, the cell. */
+/** @file One process an entry host: callers' requests and, perhaps, the cell.
+ */
 #pragma once
 
 #include "base/metrics_base.hpp"
--- a/src/front/member_service.cpp
+++ b/src/front/member_service.cpp
@@ -17,11 +17,11 @@
 const std::string OWNER_KEY = "owner";
 const std::string HOST_PREFIX = "host/";
 constexpr millis BEAT_PERIOD{250};
-constexpr millis BEAT_TIME{350};  ///< An answer is given up after this.
-constexpr millis SILENCE{900};    ///< Of the owner, before others claim.
-constexpr millis REFUSAL{250};    ///< The same when connections are refused.
-constexpr int REFUSALS = 2;       ///< In a row.
-constexpr millis RANK_STEP{120};  ///< Between claims of different hosts.
+constexpr millis BEAT_TIME{350};    ///< An answer is given up after this.
+constexpr millis SILENCE{900};      ///< Of the owner, before others claim.
+constexpr millis REFUSAL{250};      ///< The same when connections are refused.
+constexpr int REFUSALS = 2;         ///< In a row.
+constexpr millis RANK_STEP{120};    ///< Between claims of different hosts.
 constexpr millis STORE_FRESH{1500}; ///< A host without the store can't own.
 constexpr millis CALL_TIME{800};
 constexpr millis RETRY_TIME{200};
@@ -33,8 +33,7 @@
                                std::string own_address, std::int64_t life,
                                callbacks call)
     : loop_(loop), store_(store), settings_(settings),
-      own_address_(std::move(own_address)), life_(life),
-      call_(std::move(call)),
+      own_address_(std::move(own_address)), life_(life), call_(std::move(call)),
       members_(
           loop, store, {.topic = MEMBERS_TOPIC, .wait = millis(600)},
           [this](const keyed_record& record) { take_record(record); },
@@ -56,10 +55,10 @@
 }
 
 void member_service::announce() {
-    const std::string value = dispatch::encode_member(
-        {.host = settings_.host,
-         .data_centre = settings_.data_centre,
-         .address = own_address_});
+    const std::string value =
+        dispatch::encode_member({.host = settings_.host,
+                                 .data_centre = settings_.data_centre,
+                                 .address = own_address_});
     store_.append({.topic = MEMBERS_TOPIC,
                    .records = {{.key = HOST_PREFIX + settings_.host.value,
                                 .value = value}},
@@ -122,8 +121,8 @@
 rpc_client& member_service::peer(const std::string& address) {
     auto& client = peers_[address];
     if (!client)
-        client = std::make_unique<rpc_client>(loop_, address,
-                                              on_timeout::reconnect);
+        client =
+            std::make_unique<rpc_client>(loop_, address, on_timeout::reconnect);
     return *client;
 }
 
@@ -160,8 +159,7 @@
     refused_ = 0;
     const auto reply = wire_decode<wire::beat_reply>(answer.body);
     // An owner that the store turns away can't start anything.
-    if (reply.epoch >= owner_.epoch &&
-        reply.owner_address == owner_.address &&
+    if (reply.epoch >= owner_.epoch && reply.owner_address == owner_.address &&
         reply.store_age_ms < STORE_FRESH.count())
         heard_ = event_loop::now();
 }
@@ -198,15 +196,13 @@
                             .life = life_};
     store_.append(
         {.topic = MEMBERS_TOPIC,
-         .records = {{.key = OWNER_KEY,
-                      .value = dispatch::encode_owner(mine)}},
+         .records = {{.key = OWNER_KEY, .value = dispatch::encode_owner(mine)}},
          .at = members_.next(),
          .timeout = CALL_TIME},
         [this, mine](const append_answer& answer) {
             claiming_ = false;
             // The follower shows every outcome; this only saves its delay.
-            if (answer.result == store_result::ok &&
-                mine.epoch > owner_.epoch)
+            if (answer.result == store_result::ok && mine.epoch > owner_.epoch)
                 take_owner(mine);
         });
 }
@@ -228,12 +224,12 @@
                             .host = settings_.host,
                             .address = "",
                             .life = life_};
-    store_.append({.topic = MEMBERS_TOPIC,
-                   .records = {{.key = OWNER_KEY,
-                                .value = dispatch::encode_owner(none)}},
-                   .at = members_.next(),
-                   .timeout = CALL_TIME},
-                  [](const append_answer&) {});
+    store_.append(
+        {.topic = MEMBERS_TOPIC,
+         .records = {{.key = OWNER_KEY, .value = dispatch::encode_owner(none)}},
+         .at = members_.next(),
+         .timeout = CALL_TIME},
+        [](const append_answer&) {});
 }
 
 } // namespace rattan::front
--- a/src/front/member_service.hpp
+++ b/src/front/member_service.hpp
@@ -32,8 +32,7 @@
 
     member_service(event_loop& loop, platform::store_client& store,
                    const platform::platform_settings& settings,
-                   std::string own_address, std::int64_t life,
-                   callbacks call);
+                   std::string own_address, std::int64_t life, callbacks call);
 
     void start();
     /** Gives ownership away, if held, and claims no more. */
@@ -43,9 +42,7 @@
 
     [[nodiscard]] bool ready() const { return members_.loaded(); }
     [[nodiscard]] bool owns() const { return owns_; }
-    [[nodiscard]] const dispatch::owner_record& owner() const {
-        return owner_;
-    }
+    [[nodiscard]] const dispatch::owner_record& owner() const { return owner_; }
     /** Time since the store last answered. */
     [[nodiscard]] millis store_age() const;
     /** Time since the owner was last heard. */
--- a/src/front/owner_service.cpp
+++ b/src/front/owner_service.cpp
@@ -27,7 +27,7 @@
 constexpr millis LIST_PAUSE{300};   ///< Between reads of the target list.
 constexpr millis SHORTEST_SLEEP{5}; ///< Between rounds without an event.
 constexpr millis LONGEST_SLEEP{100};
-constexpr millis STANDSTILL{200}; ///< A shorter one needs no care.
+constexpr millis STANDSTILL{200};     ///< A shorter one needs no care.
 constexpr size_t PROGRESS_PREFIX = 2; ///< Of `p/` and the like.
 
 /** Time that this host stood still since it booted. */
@@ -95,9 +95,9 @@
 owner_clock owner_service::clock() {
     const millis suspended = time_suspended();
     if (suspended - suspended_before_ > STANDSTILL) {
-        log_event(log_level::warning, "stood_still",
-                  {{"ms", std::to_string((suspended - suspended_before_)
-                                             .count())}});
+        log_event(
+            log_level::warning, "stood_still",
+            {{"ms", std::to_string((suspended - suspended_before_).count())}});
         owner_.suspended();
     }
     suspended_before_ = suspended;
@@ -148,8 +148,7 @@
 }
 
 void owner_service::load_done() {
-    if (serving_ || !progress_loaded_ || !jobs_->loaded() ||
-        !listed_->loaded())
+    if (serving_ || !progress_loaded_ || !jobs_->loaded() || !listed_->loaded())
         return;
     const owner_clock at = clock();
     for (auto& [id, record] : std::exchange(loaded_jobs_, {})) {
@@ -257,9 +256,8 @@
 
 void owner_service::arm() {
     const owner_clock at = clock();
-    const mono_time due =
-        std::clamp(owner_.next_due(at), at.now + SHORTEST_SLEEP,
-                   at.now + LONGEST_SLEEP);
+    const mono_time due = std::clamp(
+        owner_.next_due(at), at.now + SHORTEST_SLEEP, at.now + LONGEST_SLEEP);
     if (timer_ != 0 && timer_due_ <= due && timer_due_ > at.now)
         return;
     context_.loop.cancel(timer_);
@@ -279,13 +277,12 @@
                {"run", std::to_string(order.run)},
                {"target", target.id.value},
                {"until", std::to_string(order.until_ms)}});
-    targets_.start(
-        target, order, START_TIME,
-        guarded([this, id = target.id, task = order.task,
-                 run = order.run](const order_answer& answer) {
-            owner_.started(id, task, run, answer, clock());
-            wake();
-        }));
+    targets_.start(target, order, START_TIME,
+                   guarded([this, id = target.id, task = order.task,
+                            run = order.run](const order_answer& answer) {
+                       owner_.started(id, task, run, answer, clock());
+                       wake();
+                   }));
 }
 
 void owner_service::stop(const target_address& target, const task_id& task,
@@ -296,12 +293,12 @@
                {"task", platform::task_name(task)},
                {"run", std::to_string(run)},
                {"target", target.id.value}});
-    targets_.stop(target, task, run, fence, STOP_TIME,
-                  guarded([this, id = target.id, task,
-                           run](const order_answer& answer) {
-                      owner_.stop_answered(id, task, run, answer, clock());
-                      wake();
-                  }));
+    targets_.stop(
+        target, task, run, fence, STOP_TIME,
+        guarded([this, id = target.id, task, run](const order_answer& answer) {
+            owner_.stop_answered(id, task, run, answer, clock());
+            wake();
+        }));
 }
 
 void owner_service::pace(const target_address& target, const task_id& task,
@@ -390,8 +387,8 @@
                                                .epoch = epoch_,
                                                .sequence = sequence_},
          .timeout = APPEND_TIME},
-        guarded([this, records, done, sent_at = event_loop::now()](
-                    const append_answer& answer) {
+        guarded([this, records, done,
+                 sent_at = event_loop::now()](const append_answer& answer) {
             switch (answer.result) {
             case store_result::ok:
                 owner_.confirmed(sent_at);
@@ -401,17 +398,17 @@
             case store_result::out_of_order:
                 if (answer.expected_sequence == sequence_ + 1)
                     return done(); // An earlier try was done.
-                log_event(log_level::warning, "owner_append_out_of_order",
-                          {{"sent", std::to_string(sequence_)},
-                           {"expected",
-                            std::to_string(answer.expected_sequence)}});
+                log_event(
+                    log_level::warning, "owner_append_out_of_order",
+                    {{"sent", std::to_string(sequence_)},
+                     {"expected", std::to_string(answer.expected_sequence)}});
                 if (answer.expected_sequence < sequence_)
                     sequence_ = answer.expected_sequence;
                 break;
             default:
                 log_event(log_level::warning, "owner_append_failed",
-                          {{"result", std::to_string(static_cast<int>(
-                                          answer.result))}});
+                          {{"result",
+                            std::to_string(static_cast<int>(answer.result))}});
                 break;
             }
             context_.loop.after(RETRY_TIME, guarded([this, records, done] {
--- a/src/front/owner_service.hpp
+++ b/src/front/owner_service.hpp
@@ -1,10 +1,10 @@
 /** @file Runs the owner's decisions against the store and the targets. */
 #pragma once
 
+#include "base/metrics_base.hpp"
 #include "dispatch/owner_base.hpp"
 #include "front/member_service.hpp"
 #include "front/topic_follower.hpp"
-#include "base/metrics_base.hpp"
 #include "platform/target_client.hpp"
 
 #include <memory>
@@ -44,10 +44,11 @@
     [[nodiscard]] const dispatch::owner& decisions() const { return owner_; }
 
     /** Asks the advice service from this host. */
-    static void advise(http_client& http, const std::string& address,
-                       const std::string& step,
-                       const std::vector<std::string>& targets, millis timeout,
-                       std::function<void(const dispatch::advice_answer&)> done);
+    static void
+    advise(http_client& http, const std::string& address,
+           const std::string& step, const std::vector<std::string>& targets,
+           millis timeout,
+           std::function<void(const dispatch::advice_answer&)> done);
 
     // dispatch::owner_output
     void start(const dispatch::target_address& target,
--- a/src/front/record_writer.cpp
+++ b/src/front/record_writer.cpp
@@ -49,10 +49,11 @@
     store_.append(
         {.topic = topic_,
          .records = std::move(records),
-         .identity = platform::append_identity{
-             .producer = producer_ + "/" + std::to_string(generation_),
-             .epoch = 1,
-             .sequence = sequence_},
+         .identity =
+             platform::append_identity{.producer = producer_ + "/" +
+                                                   std::to_string(generation_),
+                                       .epoch = 1,
+                                       .sequence = sequence_},
          .timeout = APPEND_TIME},
         [this](const append_answer& answer) { answered(answer); });
 }
--- a/src/front/record_writer.hpp
+++ b/src/front/record_writer.hpp
@@ -32,8 +32,7 @@
                   std::string topic, std::string producer);
 
     /** Writes a record; `done` is called once, within `MOST_TIME`. */
-    void write(const std::string& key, const std::string& value,
-               callback done);
+    void write(const std::string& key, const std::string& value, callback done);
 
     /** Tells whether the last append failed. */
     [[nodiscard]] bool failing() const { return failing_; }
--- a/src/front/topic_follower.cpp
+++ b/src/front/topic_follower.cpp
@@ -25,11 +25,10 @@
       record_(std::move(record)), on_loaded_(std::move(loaded)) {}
 
 void topic_follower::later(millis delay, std::function<void()> call) {
-    loop_.after(delay,
-                [call = std::move(call), alive = std::weak_ptr(alive_)] {
-                    if (!alive.expired())
-                        call();
-                });
+    loop_.after(delay, [call = std::move(call), alive = std::weak_ptr(alive_)] {
+        if (!alive.expired())
+            call();
+    });
 }
 
 void topic_follower::note_answer(mono_time sent_at) {
@@ -45,9 +44,8 @@
                       if (alive.expired())
                           return;
                       if (page.result != store_result::ok)
-                          return later(RETRY_TIME, [this, after] {
-                              load(after);
-                          });
+                          return later(RETRY_TIME,
+                                       [this, after] { load(after); });
                       note_answer(sent_at);
                       take_page(page, after.empty());
                   });
@@ -77,8 +75,7 @@
 }
 
 void topic_follower::take(const keyed_record& record) {
-    std::int64_t& newest =
-        offsets_.try_emplace(record.key, -1).first->second;
+    std::int64_t& newest = offsets_.try_emplace(record.key, -1).first->second;
     if (record.offset <= newest)
         return;
     newest = record.offset;
--- a/src/front/topic_follower.hpp
+++ b/src/front/topic_follower.hpp
@@ -22,8 +22,7 @@
 /** Calls back with each record; repeats and old ones are left out. */
 class topic_follower {
 public:
-    using on_record =
-        std::function<void(const platform::keyed_record& record)>;
+    using on_record = std::function<void(const platform::keyed_record& record)>;
     /** All keys there are; called after each full load. */
     using on_loaded = std::function<void(const std::set<std::string>& keys)>;
 
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -103,6 +103,8 @@
     static int on_timer(CURLM*, long timeout_ms, void* self);
 
     int act(ACE_HANDLE handle, int what);
+    /** Has the reactor watch a socket for these events, or for none. */
+    void watch(socket_handler& socket, ACE_Reactor_Mask mask);
     /** Ends the transfers that the library has finished. */
     void reap();
     /** Sets the library's options of one call. */
@@ -150,36 +152,35 @@
 int http_client::body::on_socket(CURL*, curl_socket_t handle, int what,
                                  void* self, void*) {
     auto* client = static_cast<body*>(self);
-    ACE_Reactor& reactor = client->loop_.reactor();
     auto& socket = client->sockets_[handle];
-    if (what == CURL_POLL_REMOVE) {
-        if (!socket)
-            return 0;
-        reactor.remove_handler(socket.get(),
-                               ACE_Event_Handler::ALL_EVENTS_MASK |
-                                   ACE_Event_Handler::DONT_CALL);
-        // The handler may be in an upcall of the reactor.
-        client->loop_.defer(
-            [held = std::shared_ptr<socket_handler>(std::move(socket))] {});
-        client->sockets_.erase(handle);
-        return 0;
-    }
+    // Kept for good: the reactor may still hold it when a descriptor comes
+    // back under the same number.
     if (!socket)
         socket = std::make_unique<socket_handler>(*client, handle);
     ACE_Reactor_Mask mask = ACE_Event_Handler::NULL_MASK;
-    if ((what & CURL_POLL_IN) != 0)
+    if (what != CURL_POLL_REMOVE && (what & CURL_POLL_IN) != 0)
         mask |= ACE_Event_Handler::READ_MASK;
-    if ((what & CURL_POLL_OUT) != 0)
+    if (what != CURL_POLL_REMOVE && (what & CURL_POLL_OUT) != 0)
         mask |= ACE_Event_Handler::WRITE_MASK;
-    if (!socket->registered) {
-        reactor.register_handler(socket.get(), mask);
-        socket->registered = true;
-    } else {
-        reactor.mask_ops(socket.get(), mask, ACE_Reactor::SET_MASK);
-    }
+    client->watch(*socket, mask);
     return 0;
 }
 
+void http_client::body::watch(socket_handler& socket, ACE_Reactor_Mask mask) {
+    ACE_Reactor& reactor = loop_.reactor();
+    if (mask == ACE_Event_Handler::NULL_MASK) {
+        // An empty mask would leave a registration that can't be removed.
+        if (std::exchange(socket.registered, false))
+            reactor.remove_handler(&socket, ACE_Event_Handler::ALL_EVENTS_MASK |
+                                                ACE_Event_Handler::DONT_CALL);
+        return;
+    }
+    if (!std::exchange(socket.registered, true))
+        reactor.register_handler(&socket, mask);
+    else
+        reactor.mask_ops(&socket, mask, ACE_Reactor::SET_MASK);
+}
+
 int http_client::body::on_timer(CURLM*, long timeout_ms, void* self) {
     auto* client = static_cast<body*>(self);
     client->loop_.cancel(std::exchange(client->timer_, 0));
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -94,8 +94,8 @@
                              void** state, MHD_RequestTerminationCode code);
 
     /** Reads the head of a new request. */
-    std::shared_ptr<exchange_state>*
-    begin(MHD_Connection* connection, const char* url, const char* method);
+    std::shared_ptr<exchange_state>* begin(MHD_Connection* connection,
+                                           const char* url, const char* method);
     /** Hands a whole request to the handler. */
     MHD_Result dispatch(const std::shared_ptr<exchange_state>& exchange);
     /** Lets the library go on with an answered connection. */
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -15,9 +15,9 @@
 struct http_limits {
     size_t body_bytes = 1U << 20U;
     unsigned connections = 1000;
-    unsigned connections_per_ip = 0;      ///< 0: no bound.
-    unsigned idle_s = 30;                 ///< An idle or slow connection ends.
-    size_t connection_bytes = 32U << 10U; ///< Headers and fields.
+    unsigned connections_per_ip = 0;       ///< 0: no bound.
+    unsigned idle_s = 30;                  ///< An idle or slow connection ends.
+    size_t connection_bytes = 32U << 10U;  ///< Headers and fields.
     std::vector<std::string> kept_headers; ///< Handed on with a request.
 };
 
--- a/src/net/http_type.hpp
+++ b/src/net/http_type.hpp
@@ -17,7 +17,7 @@
     std::string body;
     std::string authorization;
     std::string request_id; ///< From `X-Request-Id`; empty when not given.
-    std::string host; ///< From `Host`, without a port.
+    std::string host;       ///< From `Host`, without a port.
     /** The headers that the server was asked to keep, by their names. */
     std::map<std::string, std::string> headers;
     /** From `X-Attempt`: 1 says that this id was never sent before. */
@@ -38,8 +38,8 @@
     std::string method = "GET";
     std::string url;
     std::string body;
-    std::string request_id;    ///< Sent as `X-Request-Id` when given.
-    std::string authorization; ///< Sent as `Authorization` when given.
+    std::string request_id;           ///< Sent as `X-Request-Id` when given.
+    std::string authorization;        ///< Sent as `Authorization` when given.
     std::vector<std::string> headers; ///< More headers, as `Name: value`.
     millis timeout{1000};             ///< For the whole call.
     millis connect_timeout{500};
--- a/src/platform/platform_settings.cpp
+++ b/src/platform/platform_settings.cpp
@@ -45,8 +45,8 @@
     double number(const std::string& name) const {
         const std::string value = text(name);
         double result = 0;
-        const auto [end, failure] = std::from_chars(
-            value.data(), value.data() + value.size(), result);
+        const auto [end, failure] =
+            std::from_chars(value.data(), value.data() + value.size(), result);
         if (failure != std::errc() || end != value.data() + value.size() ||
             result < 0)
             throw config_error(file_, fields_.at(name).line, name,
--- a/src/platform/platform_settings.hpp
+++ b/src/platform/platform_settings.hpp
@@ -31,7 +31,7 @@
     millis gang_wait{0};           ///< Members wait this long for the others.
     millis grace{0};               ///< From SIGTERM to SIGKILL.
     millis state_kept{0};          ///< Ended jobs are shown this long.
-    millis harm_time{0}; ///< A tail may be over its target this long.
+    millis harm_time{0};           ///< A tail may be over its target this long.
 };
 
 /**
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -35,10 +35,10 @@
 
 std::string decode_base64(const std::string& text) {
     std::string out(text.size() / 4 * 3 + 3, '\0');
-    const int size = EVP_DecodeBlock(
-        reinterpret_cast<unsigned char*>(out.data()),
-        reinterpret_cast<const unsigned char*>(text.data()),
-        static_cast<int>(text.size()));
+    const int size =
+        EVP_DecodeBlock(reinterpret_cast<unsigned char*>(out.data()),
+                        reinterpret_cast<const unsigned char*>(text.data()),
+                        static_cast<int>(text.size()));
     if (size < 0)
         throw decode_error("a value of the store is not base64");
     size_t padding = 0;
@@ -186,10 +186,10 @@
 
 void store_client::read(const read_call& call,
                         std::function<void(const read_answer&)> done) {
-    const std::string url =
-        base_ + "/-/log-read?topic=" + url_text(call.topic) +
-        "&part=0&from=" + std::to_string(call.from) +
-        "&waitMs=" + std::to_string(call.wait.count());
+    const std::string url = base_ +
+                            "/-/log-read?topic=" + url_text(call.topic) +
+                            "&part=0&from=" + std::to_string(call.from) +
+                            "&waitMs=" + std::to_string(call.wait.count());
     http_.call(
         {.url = url, .timeout = call.timeout},
         [done = std::move(done), from = call.from](const http_answer& answer) {
--- a/src/platform/target_client.cpp
+++ b/src/platform/target_client.cpp
@@ -202,9 +202,9 @@
                        out = decode_look(answer.body);
                    const std::int64_t clock = out.order.clock_ms;
                    out.order = read_order(
-                       answer, answer.ok() ? json() : json::parse(answer.body,
-                                                                  nullptr,
-                                                                  false));
+                       answer, answer.ok()
+                                   ? json()
+                                   : json::parse(answer.body, nullptr, false));
                    if (answer.ok())
                        out.order.clock_ms = clock;
                    done(out);
@@ -223,8 +223,8 @@
               [done = std::move(done)](const http_answer& answer) {
                   advice_answer out{.ok = answer.ok()};
                   const json reply = json::parse(answer.body, nullptr, false);
-                  if (!out.ok || !reply.is_object() || !reply.contains("good") ||
-                      !reply["good"].is_array()) {
+                  if (!out.ok || !reply.is_object() ||
+                      !reply.contains("good") || !reply["good"].is_array()) {
                       out.ok = false;
                       return done(out);
                   }
--- a/src/platform/target_client.hpp
+++ b/src/platform/target_client.hpp
@@ -46,7 +46,8 @@
 
 /** Asks which of some targets may run a step. */
 void ask_advice(http_client& http, const std::string& address,
-                const std::string& step, const std::vector<std::string>& targets,
-                millis timeout, std::function<void(const advice_answer&)> done);
+                const std::string& step,
+                const std::vector<std::string>& targets, millis timeout,
+                std::function<void(const advice_answer&)> done);
 
 } // namespace rattan::platform
--- a/src/platform/wire_codec.cpp
+++ b/src/platform/wire_codec.cpp
@@ -92,10 +92,10 @@
     };
     const auto advice = row.find("advice");
     if (advice != row.end() && advice->is_object())
-        queue.advice = {
-            .decide_ms = field<double>(*advice, "decideMs", 0),
-            .per_target_ms = field<double>(*advice, "perWorkerMs", 0),
-            .valid = millis(whole(*advice, "validMs", 0, MOST))};
+        queue.advice = {.decide_ms = field<double>(*advice, "decideMs", 0),
+                        .per_target_ms =
+                            field<double>(*advice, "perWorkerMs", 0),
+                        .valid = millis(whole(*advice, "validMs", 0, MOST))};
     return queue;
 }
 
@@ -115,8 +115,8 @@
         throw decode_error("step " + std::to_string(number) +
                            " is not an object");
     step_spec step{
-        .count =
-            static_cast<std::int32_t>(whole(row, "count", 1, MOST_TASKS_A_STEP)),
+        .count = static_cast<std::int32_t>(
+            whole(row, "count", 1, MOST_TASKS_A_STEP)),
         .each = read_resources(row),
         .estimate = millis(whole(row, "estimateMs", 0, MOST)),
         .after = field<std::vector<int>>(row, "after", {}),
@@ -211,12 +211,11 @@
 
 job_spec decode_job(const std::string& text) {
     const json object = parse_object(text, "the job");
-    job_spec job{
-        .payload = field<std::string>(object, "taskSpec", ""),
-        .repeats =
-            static_cast<std::int32_t>(whole(object, "repeatCount", 0, 1 << 20)),
-        .first_due_ms = whole(object, "firstRunMs", 0, MOST),
-        .interval = millis(whole(object, "intervalMs", 0, MOST))};
+    job_spec job{.payload = field<std::string>(object, "taskSpec", ""),
+                 .repeats = static_cast<std::int32_t>(
+                     whole(object, "repeatCount", 0, 1 << 20)),
+                 .first_due_ms = whole(object, "firstRunMs", 0, MOST),
+                 .interval = millis(whole(object, "intervalMs", 0, MOST))};
     if (job.payload.size() > MOST_PAYLOAD_BYTES)
         throw decode_error("field \"taskSpec\" is too long");
     const json& rows = list_of(object, "jobSteps");
@@ -228,8 +227,8 @@
 }
 
 std::string encode_job_state(job_state state) {
-    static constexpr const char* NAMES[] = {"pending",   "running", "completed",
-                                            "failed",    "canceled", "unknown"};
+    static constexpr const char* NAMES[] = {"pending", "running",  "completed",
+                                            "failed",  "canceled", "unknown"};
     return std::string(R"({"state":")") + NAMES[static_cast<int>(state)] +
            "\"}";
 }
@@ -269,9 +268,8 @@
 
 bool is_job_id(const std::string& text) {
     return text.size() == JOB_ID_DIGITS &&
-           std::all_of(text.begin(), text.end(), [](unsigned char c) {
-               return std::isxdigit(c) != 0;
-           });
+           std::all_of(text.begin(), text.end(),
+                       [](unsigned char c) { return std::isxdigit(c) != 0; });
 }
 
 } // namespace rattan::platform
