--- a/src/dispatch/owner_look.cpp
+++ b/src/dispatch/owner_look.cpp
@@ -50,7 +50,9 @@
                      .last_seen = target.answers ? target.stored_end : 0,
                      .wait = wait,
                      .timeout = wait + ANSWER_TIME};
-    if (target.clock_ms > 0) {
+    // A silent target's lease is left to end, or its runs would be counted
+    // there for as long as it is asked.
+    if (target.clock_ms > 0 && (target.answers || !target.fenced)) {
         order.until_ms = target.clock_now(clock.now) + settings_.lease.count();
         target.until_ms = std::max(target.until_ms, order.until_ms);
     }
