Play the owner in virtual time: loads of the sheets, lost targets, takeovers

Change: tests/dispatch_world plays targets, advice and store in virtual time; dispatch_load_test names each pattern.

--- /dev/null
+++ b/tests/dispatch_load_test.cpp
@@ -0,0 +1,180 @@
+/** @file The owner under the sheets' load and under faults, no network. */
+#include "dispatch_world.hpp"
+
+#include <gtest/gtest.h>
+
+using namespace rattan;
+using namespace rattan::dispatch;
+using namespace rattan::dispatch::testing;
+
+namespace {
+
+constexpr double TARGET_SHARE = 0.9; ///< In time, on a calm day.
+
+request_kind checks() {
+    return {.queue = "checks",
+            .per_second = 12.4,
+            .advice = {19, 0.28, millis(2500)}};
+}
+
+request_kind plans() {
+    return {.queue = "plans",
+            .per_second = 1.21,
+            .steps = 2,
+            .width = 13,
+            .task_ms = 4800,
+            .milli_cores = 5000,
+            .priority = 2,
+            .stretch = 2.2,
+            .objective = millis(1200),
+            .advice = {400, 5.7, millis(2500)},
+            .good_share = 0.35};
+}
+
+job_spec lasting_job(int count) {
+    job_spec spec{.payload = "p"};
+    spec.steps.push_back(
+        {.count = count, .each = {1000, 100, 0}, .lasting = true});
+    return spec;
+}
+
+job_spec short_job(int count, int task_ms) {
+    job_spec spec{.payload = "p"};
+    spec.steps.push_back({.count = count,
+                          .each = {1000, 100, 0},
+                          .estimate = millis(task_ms)});
+    return spec;
+}
+
+double share_in_time(const kind_result& result) {
+    return static_cast<double>(result.in_time) / result.jobs;
+}
+
+/** A world with both queues and one organisation. */
+std::unique_ptr<world> make_world(std::uint32_t seed) {
+    auto made = std::make_unique<world>(world_options{.seed = seed});
+    made->add_queue(checks());
+    made->add_queue(plans());
+    made->add_organisation("a", 1000);
+    return made;
+}
+
+} // namespace
+
+TEST(dispatch_load, calm_mix_ends_in_time) {
+    auto cell = make_world(11);
+    cell->submit_from(checks(), "a", millis(2000), millis(22000));
+    cell->submit_from(plans(), "a", millis(2000), millis(22000));
+    cell->run_until(millis(60000));
+    EXPECT_GE(share_in_time(cell->result("checks")), TARGET_SHARE);
+    EXPECT_GE(share_in_time(cell->result("plans")), TARGET_SHARE);
+    EXPECT_EQ(cell->overlapping_runs(), 0);
+    EXPECT_EQ(cell->overcommitted_starts(), 0);
+}
+
+// A silent target that never comes back: its lasting task runs elsewhere.
+// Failed before probes of silent targets stopped asking for a longer lease.
+TEST(dispatch_load, lost_target_frees_its_lasting_tasks) {
+    auto cell = make_world(12);
+    const job_id job = cell->submit("checks", "a", lasting_job(40));
+    cell->run_until(millis(5000));
+    ASSERT_EQ(cell->running(job), 40U);
+    int lost = 0;
+    for (int i = 0; i < 48; i += 4) {
+        cell->silence(i, true);
+        ++lost;
+    }
+    cell->run_until(millis(15000));
+    ASSERT_GT(lost, 0);
+    for (int i = 0; i < 48; i += 4)
+        cell->restart_target(i); // What ran there is gone.
+    EXPECT_EQ(cell->running(job), 40U);
+    EXPECT_EQ(cell->overcommitted_starts(), 0);
+}
+
+TEST(dispatch_load, takeover_starts_nothing_twice) {
+    for (std::uint32_t seed = 1; seed <= 5; ++seed) {
+        auto cell = make_world(seed);
+        cell->submit_from(checks(), "a", millis(2000), millis(12000));
+        cell->submit_from(plans(), "a", millis(2000), millis(12000));
+        for (int i = 1; i <= 8; ++i)
+            cell->at(millis(2000 + i * 1300), [&] { cell->restart_owner(); });
+        cell->run_until(millis(70000));
+        EXPECT_EQ(cell->overlapping_runs(), 0) << "seed " << seed;
+        EXPECT_EQ(cell->overcommitted_starts(), 0) << "seed " << seed;
+        const kind_result result = cell->result("checks");
+        EXPECT_EQ(result.ended, result.jobs) << "seed " << seed;
+    }
+}
+
+TEST(dispatch_load, takeover_beside_a_silent_target_starts_nothing_twice) {
+    for (std::uint32_t seed = 21; seed <= 25; ++seed) {
+        auto cell = make_world(seed);
+        cell->submit_from(checks(), "a", millis(2000), millis(12000));
+        cell->submit_from(plans(), "a", millis(2000), millis(12000));
+        cell->at(millis(5000), [&] {
+            for (int i = 0; i < 16; ++i)
+                cell->silence(i, true);
+            cell->restart_owner();
+        });
+        cell->at(millis(11000), [&] {
+            for (int i = 0; i < 16; ++i)
+                cell->silence(i, false);
+        });
+        cell->run_until(millis(90000));
+        EXPECT_EQ(cell->overlapping_runs(), 0) << "seed " << seed;
+        EXPECT_EQ(cell->overcommitted_starts(), 0) << "seed " << seed;
+        const kind_result result = cell->result("checks");
+        EXPECT_EQ(result.ended, result.jobs) << "seed " << seed;
+    }
+}
+
+TEST(dispatch_load, lost_start_answers_start_nothing_twice) {
+    auto cell = make_world(31);
+    cell->submit_from(checks(), "a", millis(2000), millis(8000));
+    cell->at(millis(3000), [&] { cell->lose_start_answers(true); });
+    cell->at(millis(5000), [&] { cell->lose_start_answers(false); });
+    cell->run_until(millis(60000));
+    EXPECT_EQ(cell->overlapping_runs(), 0);
+    const kind_result result = cell->result("checks");
+    EXPECT_EQ(result.ended, result.jobs);
+}
+
+TEST(dispatch_load, failing_targets_are_avoided) {
+    auto cell = make_world(41);
+    for (int i = 0; i < 4; ++i)
+        cell->set_failing(i * 11, true);
+    cell->submit_from(checks(), "a", millis(2000), millis(12000));
+    cell->run_until(millis(60000));
+    EXPECT_GE(share_in_time(cell->result("checks")), TARGET_SHARE);
+}
+
+TEST(dispatch_load, store_outage_holds_starts_and_loses_nothing) {
+    auto cell = make_world(51);
+    cell->submit_from(checks(), "a", millis(2000), millis(12000));
+    cell->at(millis(5000), [&] { cell->set_store_down(true); });
+    cell->at(millis(8000), [&] { cell->set_store_down(false); });
+    cell->run_until(millis(60000));
+    EXPECT_EQ(cell->overlapping_runs(), 0);
+    const kind_result result = cell->result("checks");
+    EXPECT_EQ(result.ended, result.jobs);
+}
+
+TEST(dispatch_load, restarted_target_runs_nothing_of_before) {
+    auto cell = make_world(61);
+    const job_id job = cell->submit("checks", "a", lasting_job(60));
+    cell->run_until(millis(5000));
+    ASSERT_EQ(cell->running(job), 60U);
+    for (int i = 0; i < 24; ++i)
+        cell->restart_target(i);
+    cell->run_until(millis(10000));
+    EXPECT_EQ(cell->running(job), 60U);
+}
+
+TEST(dispatch_load, small_jobs_follow_each_other) {
+    auto cell = make_world(71);
+    for (int i = 0; i < 20; ++i)
+        cell->submit("checks", "a", short_job(4, 100));
+    cell->run_until(millis(5000));
+    EXPECT_EQ(cell->result("checks").ended, 20);
+}
--- /dev/null
+++ b/tests/dispatch_world.cpp
@@ -0,0 +1,498 @@
+#include "dispatch_world.hpp"
+
+#include "dispatch/record_codec.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace rattan::dispatch::testing {
+
+namespace {
+
+constexpr std::int64_t WALL_OFFSET = 1'700'000'000'000; ///< Unix time of 0.
+constexpr std::int64_t CLOCK_STEP = 77'777; ///< Between targets' clocks.
+constexpr int TARGETS_A_RACK = 8;
+constexpr std::int64_t MEMORY_MIB = 1 << 20;
+const std::string SERVICE = "pool";
+
+} // namespace
+
+world::world(const world_options& options)
+    : options_(options), random_(options.seed) {
+    static constexpr double SIZES[] = {1.0, 1.0, 0.5, 2.0};
+    for (int i = 0; i < options.targets; ++i) {
+        fake_target target;
+        target.entry = {
+            .id = target_name(i),
+            .address = "10.0.0." + std::to_string(i),
+            .data_centre = {"dc" + std::to_string(i % 3)},
+            .service = {SERVICE},
+            .capacity = {static_cast<std::int64_t>(
+                             SIZES[i % 4] *
+                             static_cast<double>(options.target_cores)),
+                         MEMORY_MIB, 0},
+            .labels = {"a", "r1-" + std::to_string(i / TARGETS_A_RACK)},
+            .rack = "r1-" + std::to_string(i / TARGETS_A_RACK),
+            .born = 1};
+        targets_.push_back(std::move(target));
+    }
+    config_.version = 1;
+    config_.services.push_back({.name = {SERVICE}});
+    restart_owner();
+}
+
+target_id world::target_name(int target) {
+    return {"t" + std::to_string(100 + target)};
+}
+
+owner_clock world::clock() const {
+    return {.now = mono_time(millis(now_)), .wall_ms = WALL_OFFSET + now_};
+}
+
+void world::at(millis when, std::function<void()> call) {
+    events_.push({when.count(), next_event_++, std::move(call)});
+}
+
+void world::after(millis delay, std::function<void()> call) {
+    at(millis(now_) + delay, std::move(call));
+}
+
+void world::deliver(std::function<void()> call) {
+    // Answers to an owner that is gone reach nobody.
+    after(options_.order_time, [this, call = std::move(call), e = epoch_] {
+        if (e != epoch_)
+            return;
+        call();
+        tick_soon();
+    });
+}
+
+void world::tick_soon() {
+    if (std::exchange(tick_pending_, true))
+        return;
+    after(millis(1), [this] {
+        tick_pending_ = false;
+        ++ticks_;
+        owner_->confirmed(clock().now);
+        owner_->tick(clock());
+        const std::int64_t due = std::clamp<std::int64_t>(
+            owner_->next_due(clock()).time_since_epoch().count(), now_ + 5,
+            now_ + 100);
+        if (tick_at_ > now_ && tick_at_ <= due)
+            return;
+        tick_at_ = due;
+        at(millis(due), [this, due] {
+            if (tick_at_ == due)
+                tick_soon();
+        });
+    });
+}
+
+void world::run_until(millis when) {
+    while (!events_.empty() && events_.top().at <= when.count()) {
+        const event next = events_.top();
+        events_.pop();
+        now_ = std::max(now_, next.at);
+        next.call();
+    }
+    now_ = std::max(now_, when.count());
+}
+
+void world::add_queue(const request_kind& kind) {
+    kinds_[kind.queue] = kind;
+    config_.queues.push_back({.name = {kind.queue},
+                              .host = "h",
+                              .path_prefix = "/" + kind.queue + "/",
+                              .service = {SERVICE},
+                              .priority = kind.priority,
+                              .max_attempts = 4,
+                              .stretch = kind.stretch,
+                              .objective = kind.objective,
+                              .advice = kind.advice});
+    owner_->set_config(config_);
+}
+
+void world::add_organisation(const std::string& name, double weight) {
+    config_.organisations.push_back({.name = {name}, .weight = weight});
+    owner_->set_config(config_);
+}
+
+void world::submit_from(const request_kind& kind,
+                        const std::string& organisation, millis from,
+                        millis to, double factor) {
+    std::exponential_distribution<double> gap(kind.per_second * factor /
+                                              1000.0);
+    std::int64_t when = from.count();
+    while ((when += 1 + static_cast<std::int64_t>(gap(random_))) < to.count())
+        at(millis(when), [this, kind, organisation] {
+            const auto draw = [this](double mean, double spread, double most) {
+                std::lognormal_distribution<double> by(
+                    -spread * spread / 2, spread);
+                return std::clamp(mean * by(random_), 1.0, most);
+            };
+            job_spec spec{.payload = "p"};
+            const int steps = static_cast<int>(
+                std::lround(draw(kind.steps, 0.4, 4)));
+            for (int s = 0; s < steps; ++s) {
+                step_spec step{
+                    .count = static_cast<std::int32_t>(
+                        std::lround(draw(kind.width, 0.8, 6 * kind.width))),
+                    .each = {static_cast<std::int64_t>(
+                                 draw(kind.milli_cores, 0.45,
+                                      3 * kind.milli_cores)),
+                             100, 0},
+                    .estimate = millis(static_cast<std::int64_t>(
+                        draw(kind.task_ms, 0.5, 2.5 * kind.task_ms)))};
+                if (s > 0)
+                    step.after = {s - 1};
+                spec.steps.push_back(step);
+            }
+            submit(kind.queue, organisation, spec);
+        });
+}
+
+job_id world::submit(const std::string& queue, const std::string& organisation,
+                     job_spec spec) {
+    const job_id id{"job" + std::to_string(100000 + next_job_++)};
+    const request_kind& kind = kinds_.at(queue);
+    jobs_[id] = {queue, organisation, now_,
+                 static_cast<std::int64_t>(
+                     kind.stretch *
+                     static_cast<double>(longest_chain(spec).count())) +
+                     kind.objective.count(),
+                 0};
+    job_record record{.id = id,
+                      .queue = {queue},
+                      .organisation = {organisation},
+                      .spec = std::move(spec),
+                      .accepted_ms = WALL_OFFSET + now_};
+    accepted_[id] = record;
+    owner_->accepted(std::move(record), clock());
+    tick_soon();
+    return id;
+}
+
+int world::index_of(const target_id& id) const {
+    return std::stoi(id.value.substr(1)) - 100;
+}
+
+millis world::real_time(const task_id& task) {
+    return accepted_.at(task.step.job)
+        .spec.steps[static_cast<size_t>(task.step.step)]
+        .estimate;
+}
+
+void world::start(const target_address& address, const start_order& order) {
+    ++starts_;
+    const bool lost = lose_answers_;
+    after(options_.order_time / 2, [this, address, order, lost] {
+        const int index = index_of(address.id);
+        fake_target& target = targets_[static_cast<size_t>(index)];
+        if (target.silent) {
+            after(millis(900), [this, address, order, e = epoch_] {
+                if (e != epoch_)
+                    return;
+                owner_->started(address.id, order.task, order.run,
+                                {.sent = true}, clock());
+                tick_soon();
+            });
+            return;
+        }
+        order_answer answer{.answered = true,
+                            .sent = true,
+                            .clock_ms = now_ + CLOCK_STEP * (index + 1)};
+        const step_spec& spec =
+            accepted_.at(order.task.step.job)
+                .spec.steps[static_cast<size_t>(order.task.step.step)];
+        if (order.fence < target.fence) {
+            answer.refusal = order_refusal::fence;
+        } else if (order.until_ms <= answer.clock_ms) {
+            answer.refusal = order_refusal::late;
+        } else if (target.closed[order.task] >= order.run) {
+            answer.refusal = order_refusal::old;
+        } else {
+            target.fence = order.fence;
+            target.until = std::max(target.until, order.until_ms);
+            resources used = spec.each;
+            for (const auto& [task, run] : target.runs)
+                used += run.each;
+            if (!used.fits_in(target.entry.capacity))
+                ++overcommitted_;
+            for (const fake_target& other : targets_)
+                if (other.runs.contains(order.task))
+                    ++overlaps_;
+            const millis takes =
+                target.failing
+                    ? millis(20)
+                    : millis(static_cast<std::int64_t>(
+                          static_cast<double>(real_time(order.task).count()) *
+                          target.slow));
+            target.runs[order.task] = {
+                order.run,
+                spec.lasting ? std::numeric_limits<std::int64_t>::max()
+                             : now_ + takes.count(),
+                spec.each};
+            answer.done = true;
+            if (!spec.lasting || target.failing)
+                after(takes, [this, index, task = order.task,
+                              run = order.run] {
+                    fake_target& there = targets_[static_cast<size_t>(index)];
+                    const auto found = there.runs.find(task);
+                    if (found != there.runs.end() && found->second.run == run)
+                        end_run(there, task,
+                                there.failing ? run_end::failed
+                                              : run_end::done);
+                });
+        }
+        if (lost)
+            answer = {.sent = true};
+        deliver([this, address, order, answer] {
+            owner_->started(address.id, order.task, order.run, answer,
+                            clock());
+        });
+    });
+}
+
+void world::end_run(fake_target& target, const task_id& task, run_end how) {
+    const std::int32_t run = target.runs.at(task).run;
+    target.runs.erase(task);
+    target.closed[task] = std::max(target.closed[task], run);
+    target.ended.push_back({.number = ++target.last_end,
+                            .task = task,
+                            .run = run,
+                            .end = how});
+    if (target.waiting_look)
+        std::exchange(target.waiting_look, nullptr)();
+}
+
+void world::stop(const target_address& address, const task_id& task,
+                 std::int32_t run, std::int64_t fence) {
+    after(options_.order_time / 2, [this, address, task, run, fence] {
+        fake_target& target =
+            targets_[static_cast<size_t>(index_of(address.id))];
+        order_answer answer{.sent = true};
+        if (!target.silent && fence >= target.fence) {
+            answer.answered = true;
+            answer.done = true;
+            target.closed[task] = std::max(target.closed[task], run);
+            const auto found = target.runs.find(task);
+            if (found != target.runs.end() && found->second.run <= run)
+                end_run(target, task, run_end::stopped);
+        }
+        deliver([this, address, task, run, answer] {
+            owner_->stop_answered(address.id, task, run, answer, clock());
+        });
+    });
+}
+
+void world::expire_leases(fake_target& target) {
+    const int index = index_of(target.entry.id);
+    if (now_ + CLOCK_STEP * (index + 1) <= target.until)
+        return;
+    while (!target.runs.empty())
+        end_run(target, target.runs.begin()->first, run_end::lapsed);
+}
+
+void world::look(const target_address& address, const look_order& order) {
+    const int index = index_of(address.id);
+    const mono_time sent_at = clock().now;
+    after(options_.order_time / 2, [this, index, order, sent_at] {
+        fake_target& target = targets_[static_cast<size_t>(index)];
+        expire_leases(target);
+        if (target.silent) {
+            after(order.timeout, [this, index, sent_at, e = epoch_] {
+                if (e != epoch_)
+                    return;
+                owner_->looked(target_name(index), {.order = {.sent = true}},
+                               sent_at, clock());
+                tick_soon();
+            });
+            return;
+        }
+        if (order.fence < target.fence) {
+            deliver([this, index, sent_at] {
+                owner_->looked(target_name(index),
+                               {.order = {.answered = true,
+                                          .sent = true,
+                                          .refusal = order_refusal::fence}},
+                               sent_at, clock());
+            });
+            return;
+        }
+        target.fence = order.fence;
+        target.until = std::max(target.until, order.until_ms);
+        std::erase_if(target.ended, [&](const listed_end& end) {
+            return end.number <= order.last_seen;
+        });
+        if (!target.ended.empty() || order.wait.count() == 0)
+            return send_look_answer(index, order.last_seen, sent_at);
+        auto answered = std::make_shared<bool>(false);
+        const auto answer = [this, index, order, sent_at, answered] {
+            if (!std::exchange(*answered, true))
+                send_look_answer(index, order.last_seen, sent_at);
+        };
+        target.waiting_look = answer;
+        after(order.wait, answer);
+    });
+}
+
+void world::send_look_answer(int index, std::int64_t last_seen,
+                             mono_time sent_at) {
+    const fake_target& target = targets_[static_cast<size_t>(index)];
+    look_answer answer{.order = {.answered = true,
+                                 .sent = true,
+                                 .done = true,
+                                 .clock_ms = now_ + CLOCK_STEP * (index + 1)},
+                       .born = target.entry.born};
+    for (const auto& [task, run] : target.runs)
+        answer.running.push_back({.task = task, .run = run.run});
+    for (const listed_end& end : target.ended)
+        if (end.number > last_seen)
+            answer.ended.push_back(end);
+    deliver([this, index, answer, sent_at] {
+        owner_->looked(target_name(index), answer, sent_at, clock());
+    });
+}
+
+void world::ask_advice(const host_id& host, const step_ref& step,
+                       const std::vector<std::string>& names, millis) {
+    const std::string& queue = accepted_.at(step.job).queue.value;
+    const request_kind& kind = kinds_.at(queue);
+    const millis length = advice_length(kind.advice, names.size());
+    std::int64_t& free_at = advice_free_at_[host];
+    free_at = std::max(free_at, now_ + 1) + length.count();
+    advice_answer answer{.ok = true, .valid = kind.advice.valid};
+    for (const std::string& name : names) {
+        const size_t draw =
+            std::hash<std::string>()(name + step.job.value +
+                                     std::to_string(step.step)) %
+            1000;
+        if (static_cast<double>(draw) < kind.good_share * 1000)
+            answer.good.push_back({{name}, "ticket"});
+    }
+    at(millis(free_at), [this, host, step, answer, e = epoch_,
+                         slow = length >= advice_book::SLOW_CALL] {
+        if (e != epoch_)
+            return;
+        owner_->advised_on(host, step, slow, answer, clock());
+        tick_soon();
+    });
+}
+
+void world::store(const std::vector<kept_record>& records) {
+    waiting_store_.push_back(records);
+    after(options_.store_time, [this, e = epoch_] {
+        if (e == epoch_)
+            flush_store();
+    });
+}
+
+void world::flush_store() {
+    if (store_down_ || waiting_store_.empty())
+        return;
+    for (const auto& batch : std::exchange(waiting_store_, {}))
+        for (const kept_record& record : batch) {
+            stored_[record.key] = record.value;
+            if (!record.key.starts_with("p/"))
+                continue;
+            const job_id id{record.key.substr(2)};
+            const job_entry* job = owner_->jobs().find(id);
+            if (job != nullptr && job->state == job_state::completed &&
+                jobs_[id].ended_at == 0)
+                jobs_[id].ended_at = now_;
+        }
+    owner_->stored(clock());
+    tick_soon();
+}
+
+void world::set_store_down(bool down) {
+    store_down_ = down;
+    if (!down)
+        flush_store();
+}
+
+void world::restart_owner() {
+    ++epoch_;
+    waiting_store_.clear();
+    owner_settings settings;
+    settings.epoch = epoch_;
+    owner_ = std::make_unique<owner>(settings, *this);
+    owner_->set_config(config_);
+    std::vector<host_id> hosts;
+    for (int i = 0; i < options_.hosts; ++i)
+        hosts.push_back({"h" + std::to_string(i)});
+    owner_->set_hosts(hosts);
+    owner_->confirmed(clock().now);
+    for (const fake_target& target : targets_)
+        owner_->listed(target.entry, clock());
+    for (const auto& [id, record] : accepted_) {
+        job_entry job{.record = record};
+        const auto progress = stored_.find(progress_key(id));
+        if (progress != stored_.end())
+            apply_progress(job, progress->second);
+        owner_->restore(std::move(job), clock());
+    }
+    owner_->take_over(clock());
+    tick_soon();
+}
+
+void world::silence(int target, bool silent) {
+    targets_[static_cast<size_t>(target)].silent = silent;
+}
+
+void world::restart_target(int target) {
+    fake_target& there = targets_[static_cast<size_t>(target)];
+    there.runs.clear();
+    there.ended.clear();
+    there.last_end = 0;
+    there.fence = 0;
+    there.until = 0;
+    there.closed.clear();
+    ++there.entry.born;
+}
+
+void world::set_failing(int target, bool failing) {
+    targets_[static_cast<size_t>(target)].failing = failing;
+}
+
+void world::set_slow(int target, double factor) {
+    targets_[static_cast<size_t>(target)].slow = factor;
+}
+
+kind_result world::result(const std::string& queue) const {
+    kind_result out;
+    for (const auto& [id, job] : jobs_) {
+        if (job.queue != queue)
+            continue;
+        ++out.jobs;
+        out.ended += job.ended_at > 0 ? 1 : 0;
+        out.in_time +=
+            job.ended_at > 0 && job.ended_at - job.at <= job.objective ? 1 : 0;
+    }
+    return out;
+}
+
+kind_result world::result_of(const std::string& organisation) const {
+    kind_result out;
+    for (const auto& [id, job] : jobs_) {
+        if (job.organisation != organisation)
+            continue;
+        ++out.jobs;
+        out.ended += job.ended_at > 0 ? 1 : 0;
+        out.in_time +=
+            job.ended_at > 0 && job.ended_at - job.at <= job.objective ? 1 : 0;
+    }
+    return out;
+}
+
+std::size_t world::running(const job_id& job) const {
+    std::size_t count = 0;
+    for (const fake_target& target : targets_)
+        count += static_cast<std::size_t>(std::count_if(
+            target.runs.begin(), target.runs.end(), [&](const auto& item) {
+                return item.first.step.job == job;
+            }));
+    return count;
+}
+
+} // namespace rattan::dispatch::testing
