--- a/standins/harness_cluster.cpp
+++ b/standins/harness_cluster.cpp
@@ -162,6 +162,7 @@
     // In the child: it must not outlive the test that started it.
     prctl(PR_SET_PDEATHSIG, SIGKILL);
     const int file = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    dup2(file, STDOUT_FILENO);
     dup2(file, STDERR_FILENO);
     if (getppid() == parent)
         execv(path.c_str(), argv.data());
