Stop libcurl's timers from multiplying

Cause: a deferred run for due transfers forgot the timer that was set in between, which then fired besides its successor; under load 40% of the owner's processor time went into timers without work (profile of 2,400 starts). Change: a deferred run leaves the timer alone, and several share one call. Waiting requests are resumed before the HTTP server stops: the library ended the process otherwise.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -114,6 +114,7 @@
     http_client_limits limits_;
     CURLM* multi_;
     long timer_ = 0;
+    bool run_scheduled_ = false; ///< A call for timeouts is deferred.
     std::unordered_map<CURL*, std::unique_ptr<transfer>> transfers_;
     std::map<ACE_HANDLE, std::unique_ptr<socket_handler>> sockets_;
     std::vector<CURL*> idle_; ///< Handles to use again.
@@ -186,16 +187,26 @@
     client->loop_.cancel(std::exchange(client->timer_, 0));
     if (timeout_ms < 0)
         return 0;
-    const auto expire = [client, alive = std::weak_ptr(client->alive_)] {
+    const std::weak_ptr<bool> alive = client->alive_;
+    if (timeout_ms > 0) {
+        client->timer_ =
+            client->loop_.after(millis(timeout_ms), [client, alive] {
+                if (alive.expired())
+                    return;
+                client->timer_ = 0;
+                client->act(CURL_SOCKET_TIMEOUT, 0);
+            });
+        return 0;
+    }
+    // Several transfers that begin in one round share one call.
+    if (std::exchange(client->run_scheduled_, true))
+        return 0;
+    client->loop_.defer([client, alive] {
         if (alive.expired())
             return;
-        client->timer_ = 0;
+        client->run_scheduled_ = false;
         client->act(CURL_SOCKET_TIMEOUT, 0);
-    };
-    if (timeout_ms == 0)
-        client->loop_.defer(expire);
-    else
-        client->timer_ = client->loop_.after(millis(timeout_ms), expire);
+    });
     return 0;
 }
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -10,6 +10,7 @@
 #include <netinet/in.h>
 
 #include <cstring>
+#include <set>
 #include <utility>
 
 namespace rattan {
@@ -109,6 +110,7 @@
     MHD_Daemon* daemon_ = nullptr;
     ACE_HANDLE epoll_ = ACE_INVALID_HANDLE;
     bool run_scheduled_ = false;
+    std::set<exchange_state*> suspended_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
@@ -141,6 +143,11 @@
 
 http_server::body::~body() {
     alive_.reset();
+    // The library ends the process if it is stopped under suspended ones.
+    for (exchange_state* exchange : suspended_) {
+        exchange->suspended = false;
+        MHD_resume_connection(exchange->connection);
+    }
     loop_.reactor().remove_handler(this, ACE_Event_Handler::ALL_EVENTS_MASK |
                                              ACE_Event_Handler::DONT_CALL);
     MHD_stop_daemon(daemon_);
@@ -211,12 +218,14 @@
         if (!exchange->suspended || exchange->gone)
             return;
         exchange->suspended = false;
+        suspended_.erase(exchange.get());
         MHD_resume_connection(exchange->connection);
         schedule_run();
     });
     if (exchange->replied)
         return queue_reply(exchange->connection, exchange->reply, draining);
     exchange->suspended = true;
+    suspended_.insert(exchange.get());
     MHD_suspend_connection(exchange->connection);
     return MHD_YES;
 }
@@ -247,6 +256,7 @@
         return;
     auto* exchange = static_cast<std::shared_ptr<exchange_state>*>(*state);
     (*exchange)->gone = true;
+    static_cast<body*>(self)->suspended_.erase(exchange->get());
     if ((*exchange)->handled)
         --static_cast<body*>(self)->in_flight;
     delete exchange;
