Pass writes to other hosts, read states without the owner, order by share

Change: a write goes through another host when the store refuses or is silent for 350 ms; a host without the owner follows jobs and progress in the store; jobs beyond an organisation's weight a second come last. The owner's silence before a claim is 0.7 s, the store's 1 s.

--- a/src/dispatch/job_book.hpp
+++ b/src/dispatch/job_book.hpp
@@ -55,6 +55,7 @@
     std::int32_t next_repeat = 0;
     job_state state = job_state::pending;
     std::int64_t ended_ms = 0; ///< Unix time; 0: not ended.
+    bool beyond_share = false; ///< Its organisation sent too many at once.
 
     [[nodiscard]] bool ended() const {
         return state == job_state::completed || state == job_state::failed ||
--- a/src/dispatch/owner_base.cpp
+++ b/src/dispatch/owner_base.cpp
@@ -17,6 +17,8 @@
 /** Ended jobs are kept a little longer than callers are promised. */
 constexpr millis KEPT_BEYOND{5000};
 constexpr millis LEASE_MARGIN{200}; ///< On top of leases of other owners.
+constexpr double SHARE_BURST_S = 1; ///< Jobs of so long may come at once.
+constexpr double MILLIS_A_SECOND = 1000;
 constexpr int DEFAULT_ATTEMPTS = 1; ///< Of a queue that is gone.
 
 } // namespace
@@ -68,12 +70,33 @@
     targets_.delist(target);
 }
 
+bool owner::takes_share(const job_record& record) {
+    const organisation_config* organisation =
+        find_organisation(config_, record.organisation);
+    if (organisation == nullptr || organisation->weight <= 0)
+        return true;
+    const double most = organisation->weight * SHARE_BURST_S;
+    const auto [found, is_new] = shares_.try_emplace(
+        record.organisation, share{most, record.accepted_ms});
+    share& left = found->second;
+    const auto passed = static_cast<double>(
+        std::max<std::int64_t>(0, record.accepted_ms - left.at_ms));
+    left.jobs = std::min(most, left.jobs + passed * organisation->weight /
+                                               MILLIS_A_SECOND);
+    left.at_ms = std::max(left.at_ms, record.accepted_ms);
+    if (left.jobs < 1)
+        return false;
+    left.jobs -= 1;
+    return true;
+}
+
 void owner::accepted(job_record record, const owner_clock& clock) {
     const job_id id = record.id;
     if (!jobs_.accept(std::move(record)))
         return;
     live_.insert(id);
     job_entry& job = *jobs_.find(id);
+    job.beyond_share = !takes_share(job.record);
     jobs_.open_due(job, clock.wall_ms, clock.now);
     schedule_due_ = true;
     output_.log("job_taken", id,
--- a/src/dispatch/owner_base.hpp
+++ b/src/dispatch/owner_base.hpp
@@ -126,6 +126,7 @@
     struct runnable_step {
         step_ref ref;
         int priority = 0;
+        bool beyond_share = false; ///< Its organisation sent too many.
         int lateness = 0; ///< 0 in time, 1 late, 2 worth nothing any more.
         std::int64_t due_ms = 0; ///< Unix time of the job's objective.
         const step_spec* spec = nullptr;
@@ -139,6 +140,7 @@
     void forget_old(const owner_clock& clock);
     void flush(const owner_clock& clock);
     [[nodiscard]] int max_attempts(const job_entry& job) const;
+    [[nodiscard]] bool takes_share(const job_record& record);
 
     // owner_start.cpp
     void schedule(const owner_clock& clock);
@@ -196,6 +198,12 @@
     target_book targets_;
     advice_book advice_;
     std::set<job_id> live_; ///< Jobs that have not ended.
+    /** Jobs that an organisation may still send within its weight. */
+    struct share {
+        double jobs = 0;
+        std::int64_t at_ms = 0; ///< Unix time of the last job.
+    };
+    std::map<organisation_id, share> shares_;
     bool storing_ = false;
     bool deposed_ = false;
     bool schedule_due_ = false;
--- a/src/dispatch/owner_start.cpp
+++ b/src/dispatch/owner_start.cpp
@@ -72,6 +72,7 @@
                 out.push_back(
                     {.ref = {id, number, static_cast<std::int32_t>(s)},
                      .priority = queue->priority,
+                     .beyond_share = job.beyond_share,
                      .lateness = spec.lasting ? 0 : lateness,
                      .due_ms = begin + objective,
                      .spec = &spec,
@@ -81,10 +82,10 @@
     }
     std::sort(out.begin(), out.end(),
               [](const runnable_step& a, const runnable_step& b) {
-                  return std::tuple(a.lateness == 2, a.priority, a.lateness,
-                                    a.due_ms, a.ref) <
-                         std::tuple(b.lateness == 2, b.priority, b.lateness,
-                                    b.due_ms, b.ref);
+                  return std::tuple(a.lateness == 2, a.beyond_share, a.priority,
+                                    a.lateness, a.due_ms, a.ref) <
+                         std::tuple(b.lateness == 2, b.beyond_share, b.priority,
+                                    b.lateness, b.due_ms, b.ref);
               });
     return out;
 }
@@ -328,6 +329,16 @@
 }
 
 void owner::send_starts(const owner_clock& clock) {
+    // One line a step: a line a task would be most of the log.
+    step_ref line_of;
+    std::string line;
+    const auto write_line = [&] {
+        if (!line.empty())
+            output_.log("starts_sent", line_of.job,
+                        "step=" + std::to_string(line_of.repeat) + "." +
+                            std::to_string(line_of.step) + line);
+        line.clear();
+    };
     for (const auto& [id, task] : recording_) {
         target_state* target = targets_.find(id);
         if (target == nullptr)
@@ -336,8 +347,14 @@
         if (found == target->runs.end() ||
             found->second.phase != run_phase::recording)
             continue;
+        if (task.step != line_of)
+            write_line();
+        line_of = task.step;
+        line += " " + std::to_string(task.index) + "#" +
+                std::to_string(found->second.run) + "@" + id.value;
         send_start(*target, task, found->second, clock);
     }
+    write_line();
     recording_.clear();
 }
 
--- a/src/dispatch/record_codec.cpp
+++ b/src/dispatch/record_codec.cpp
@@ -126,6 +126,12 @@
         .dump();
 }
 
+job_state decode_progress_state(const std::string& text) {
+    return decoding("progress", text, [](const json& in) {
+        return static_cast<job_state>(in.at(0).get<int>());
+    });
+}
+
 void apply_progress(job_entry& job, const std::string& text) {
     decoding("progress", text, [&](const json& in) {
         job.state = static_cast<job_state>(in.at(0).get<int>());
--- a/src/dispatch/record_codec.hpp
+++ b/src/dispatch/record_codec.hpp
@@ -16,6 +16,9 @@
 /** Encodes what has become of a job. */
 std::string encode_progress(const job_entry& job);
 
+/** The state alone of an encoded progress. @throw decode_error. */
+job_state decode_progress_state(const std::string& text);
+
 /** Puts progress onto a freshly accepted job. @throw decode_error. */
 void apply_progress(job_entry& job, const std::string& text);
 
--- a/src/front/front_service.cpp
+++ b/src/front/front_service.cpp
@@ -15,9 +15,15 @@
 
 namespace {
 
-constexpr int METRICS_PORT = 9464; ///< As in the deploy file.
-constexpr int RETRY_AFTER_S = 1;   ///< The store or an owner is away.
-constexpr millis ASK_TIME{700};    ///< A question to the owner.
+constexpr int METRICS_PORT = 9464;      ///< As in the deploy file.
+constexpr int RETRY_AFTER_S = 1;        ///< The store or an owner is away.
+constexpr millis ASK_TIME{700};         ///< A question to the owner.
+constexpr millis HEDGE_DELAY{350};      ///< Then another host is asked besides.
+constexpr millis PROBE_PERIOD{500};     ///< Of a store that fails here.
+constexpr std::size_t MOST_HELPERS = 2; ///< Hosts tried for one record.
+constexpr millis OWNER_SILENT{600};     ///< Then states come from the store.
+constexpr millis OWNER_HEARD{300};      ///< Then they come from it again.
+constexpr millis WATCH_PERIOD{200};
 constexpr millis LEAVE_POLL{100};
 constexpr millis LEAVE_SHORTEST{2500}; ///< The balancer needs two seconds.
 constexpr millis LEAVE_SPARE{1000};    ///< Kept back of the grace time.
@@ -106,6 +112,7 @@
         });
     members_.start();
     operator_.start();
+    loop_.every(WATCH_PERIOD, [this] { watch_owner(); });
     log_event(log_level::info, "started",
               {{"host", settings_.host.value},
                {"life", std::to_string(life_)},
@@ -186,6 +193,19 @@
                        wire_encode(reply));
             });
     });
+    rpc_->on(wire::method::STORE, [this](const std::string& body,
+                                         rpc_server::responder answer) {
+        const auto request = wire_decode<wire::store_request>(body);
+        writer_.write(request.key, request.value,
+                      [answer = std::move(answer)](write_result result) {
+                          answer(result == write_result::stored
+                                     ? wire::status::OK
+                                 : result == write_result::not_stored
+                                     ? wire::status::UNAVAILABLE
+                                     : wire::status::UNKNOWN,
+                                 "");
+                      });
+    });
     rpc_->on(wire::method::JOB_STATE, [this](const std::string& body,
                                              const auto& answer) {
         const auto request = wire_decode<wire::job_state_request>(body);
@@ -265,8 +285,80 @@
         [this, caller](write_result result) { reply_write(caller, result); });
 }
 
+void front_service::write(const std::shared_ptr<call>& caller,
+                          const std::string& key, const std::string& value) {
+    caller->key = key;
+    caller->value = value;
+    caller->helpers = members_.helpers();
+    caller->helpers.resize(std::min(caller->helpers.size(), MOST_HELPERS));
+    // A store that fails here is tried now and then; other hosts may reach it.
+    const mono_time now = event_loop::now();
+    if (!writer_.failing() || caller->helpers.empty() ||
+        now - tried_ >= PROBE_PERIOD) {
+        tried_ = now;
+        ++caller->writing;
+        writer_.write(key, value, [this, caller](write_result result) {
+            write_ended(caller, result);
+        });
+    }
+    if (writer_.failing())
+        return write_elsewhere(caller);
+    loop_.after(HEDGE_DELAY, [this, caller] {
+        if (!caller->answered)
+            write_elsewhere(caller);
+    });
+}
+
+void front_service::write_elsewhere(const std::shared_ptr<call>& caller) {
+    if (caller->helpers.empty())
+        return;
+    const std::string address = caller->helpers.front();
+    caller->helpers.erase(caller->helpers.begin());
+    ++caller->writing;
+    ++metrics_.counter("rattan_writes_through_peers_total");
+    wire::store_request request;
+    request.key = caller->key;
+    request.value = caller->value;
+    // Written twice, a record is still one job: its key is the job's id.
+    members_.peer(address).call(
+        wire::method::STORE, wire_encode(request), record_writer::MOST_TIME,
+        [this, caller](const rpc_answer& answer) {
+            write_ended(caller,
+                        answer.ok() ? write_result::stored
+                        : answer.result == rpc_result::not_sent ||
+                                (answer.result == rpc_result::answered &&
+                                 answer.code == wire::status::UNAVAILABLE)
+                            ? write_result::not_stored
+                            : write_result::unknown);
+        });
+}
+
+void front_service::write_ended(const std::shared_ptr<call>& caller,
+                                write_result result) {
+    --caller->writing;
+    if (caller->answered)
+        return;
+    if (result == write_result::stored)
+        return reply_write(caller, result);
+    caller->unclear = caller->unclear || result == write_result::unknown;
+    if (!caller->helpers.empty() && caller->writing == 0)
+        return write_elsewhere(caller);
+    if (caller->writing == 0)
+        reply_write(caller, caller->unclear ? write_result::unknown
+                                            : write_result::not_stored);
+}
+
+void front_service::watch_owner() {
+    const bool needed = !owner_ && members_.owner_age() > OWNER_SILENT;
+    if (needed && !states_)
+        states_ = std::make_unique<state_reader>(loop_, store_);
+    else if (!needed && states_ && members_.owner_age() < OWNER_HEARD)
+        states_.reset();
+}
+
 void front_service::reply_write(const std::shared_ptr<call>& caller,
                                 write_result result) {
+    caller->answered = true;
     static constexpr int STATUS[] = {200, 503, 504};
     const int status = STATUS[static_cast<int>(result)];
     const std::int64_t took = (event_loop::now() - caller->arrived).count();
@@ -286,8 +378,8 @@
         return reply_state(caller, owner_->decisions().state_of(
                                        caller->job, caller->organisation));
     const std::string& address = members_.owner().address;
-    if (owner_ || address.empty())
-        return caller->answer(refusal(503));
+    if (owner_ || address.empty() || states_)
+        return show_stored(caller);
     wire::job_state_request request;
     request.job = caller->job.value;
     request.organisation = caller->organisation.value;
@@ -295,12 +387,23 @@
         wire::method::JOB_STATE, wire_encode(request), ASK_TIME,
         [this, caller](const rpc_answer& answer) {
             if (!answer.ok())
-                return caller->answer(refusal(503));
+                return show_stored(caller);
             const auto reply = wire_decode<wire::job_state_reply>(answer.body);
             reply_state(caller, static_cast<job_state>(reply.state));
         });
 }
 
+void front_service::show_stored(const std::shared_ptr<call>& caller) {
+    const job_state state =
+        states_ && states_->loaded()
+            ? states_->state_of(caller->job, caller->organisation)
+            : job_state::unknown;
+    // What is not in this copy may still be on its way to it.
+    if (state == job_state::unknown)
+        return caller->answer(refusal(503));
+    reply_state(caller, state);
+}
+
 void front_service::reply_state(const std::shared_ptr<call>& caller,
                                 job_state state) {
     if (state == job_state::unknown) {
--- a/src/front/front_service.hpp
+++ b/src/front/front_service.hpp
@@ -7,6 +7,7 @@
 #include "front/member_service.hpp"
 #include "front/owner_service.hpp"
 #include "front/record_writer.hpp"
+#include "front/state_reader.hpp"
 #include "front/topic_follower.hpp"
 #include "net/http_server.hpp"
 #include "net/rpc_server.hpp"
@@ -38,15 +39,29 @@
         dispatch::organisation_id organisation;
         job_id job;
         mono_time arrived{};
+        std::string key;                  ///< Of the record to be written.
+        std::string value;                ///< Of that record.
+        std::vector<std::string> helpers; ///< Hosts not yet tried.
+        int writing = 0;                  ///< Tries under way.
+        bool unclear = false;             ///< A try may have had its effect.
+        bool answered = false;
     };
 
     void on_caller(const http_request& request,
                    const http_server::responder& answer);
     void submit(const std::shared_ptr<call>& call);
     void show(const std::shared_ptr<call>& call);
+    void show_stored(const std::shared_ptr<call>& call);
     void cancel(const std::shared_ptr<call>& call);
     void count_waiting(const std::shared_ptr<call>& call);
+    /** Writes a caller's record here or, in need, through another host. */
+    void write(const std::shared_ptr<call>& call, const std::string& key,
+               const std::string& value);
+    void write_elsewhere(const std::shared_ptr<call>& call);
+    void write_ended(const std::shared_ptr<call>& call, write_result result);
     void reply_write(const std::shared_ptr<call>& call, write_result result);
+    /** Starts and ends reading states from the store as needed. */
+    void watch_owner();
     void reply_state(const std::shared_ptr<call>& call,
                      dispatch::job_state state);
 
@@ -68,6 +83,8 @@
     dispatch::cell_config config_;
     std::set<data_centre_id> evacuated_;
     std::unique_ptr<owner_service> owner_;
+    std::unique_ptr<state_reader> states_; ///< While the owner is silent.
+    mono_time tried_{};                    ///< Last write to a failing store.
     std::unique_ptr<rpc_server> rpc_;
     std::unique_ptr<http_server> callers_;
     std::unique_ptr<http_server> readiness_;
--- a/src/front/member_service.cpp
+++ b/src/front/member_service.cpp
@@ -18,11 +18,12 @@
 const std::string HOST_PREFIX = "host/";
 constexpr millis BEAT_PERIOD{250};
 constexpr millis BEAT_TIME{350};    ///< An answer is given up after this.
-constexpr millis SILENCE{900};      ///< Of the owner, before others claim.
+constexpr millis SILENCE{700};      ///< Of the owner, before others claim.
+constexpr millis CLAIM_WAIT{400};   ///< A read for claims waits so long.
 constexpr millis REFUSAL{250};      ///< The same when connections are refused.
 constexpr int REFUSALS = 2;         ///< In a row.
 constexpr millis RANK_STEP{120};    ///< Between claims of different hosts.
-constexpr millis STORE_FRESH{1500}; ///< A host without the store can't own.
+constexpr millis STORE_FRESH{1000}; ///< A host without the store can't own.
 constexpr millis CALL_TIME{800};
 constexpr millis RETRY_TIME{200};
 
@@ -35,7 +36,7 @@
     : loop_(loop), store_(store), settings_(settings),
       own_address_(std::move(own_address)), life_(life), call_(std::move(call)),
       members_(
-          loop, store, {.topic = MEMBERS_TOPIC, .wait = millis(600)},
+          loop, store, {.topic = MEMBERS_TOPIC, .wait = CLAIM_WAIT},
           [this](const keyed_record& record) { take_record(record); },
           [](const std::set<std::string>&) {}) {
     members_.on_answered([this](mono_time sent_at) {
@@ -118,6 +119,20 @@
     return owns_ ? millis(0) : event_loop::now() - heard_;
 }
 
+std::vector<std::string> member_service::helpers() const {
+    std::vector<std::string> out;
+    if (!owner_.address.empty() && owner_.address != own_address_)
+        out.push_back(owner_.address);
+    // Hosts of other data centres are less likely to share a failure.
+    for (const bool near : {false, true})
+        for (const auto& [host, member] : known_)
+            if ((member.data_centre == settings_.data_centre) == near &&
+                member.address != own_address_ &&
+                member.address != owner_.address)
+                out.push_back(member.address);
+    return out;
+}
+
 rpc_client& member_service::peer(const std::string& address) {
     auto& client = peers_[address];
     if (!client)
--- a/src/front/member_service.hpp
+++ b/src/front/member_service.hpp
@@ -52,6 +52,8 @@
     members() const {
         return known_;
     }
+    /** Other hosts to hand work to: the owner first. */
+    [[nodiscard]] std::vector<std::string> helpers() const;
     /** A client for calls to another entry host. */
     rpc_client& peer(const std::string& address);
 
--- a/src/front/owner_service.cpp
+++ b/src/front/owner_service.cpp
@@ -271,12 +271,6 @@
 void owner_service::start(const target_address& target,
                           const start_order& order) {
     ++context_.metrics.counter("rattan_starts_sent_total");
-    log_event(log_level::info, "start_sent",
-              {{"job", order.task.step.job.value},
-               {"task", platform::task_name(order.task)},
-               {"run", std::to_string(order.run)},
-               {"target", target.id.value},
-               {"until", std::to_string(order.until_ms)}});
     targets_.start(target, order, START_TIME,
                    guarded([this, id = target.id, task = order.task,
                             run = order.run](const order_answer& answer) {
