Count a failed run once, let a new owner settle, place in rounds

Change: failed runs are kept by number; the silence before a claim is 2 s for 6 s after a change of owner; beats wait 0.6 s; placement runs at most every 8 ms over targets collected once; stops are found without walking all runs. Stronger hosts claim first.

--- a/src/dispatch/advice_book.cpp
+++ b/src/dispatch/advice_book.cpp
@@ -40,7 +40,7 @@
     lanes_ = std::move(lanes);
 }
 
-std::optional<host_id> advice_book::take_lane(millis length, mono_time now) {
+advice_lane* advice_book::find_lane(millis length, mono_time now) {
     const bool slow = length >= SLOW_CALL;
     const std::size_t kept =
         lanes_.size() > 1 ? (lanes_.size() + QUICK_SHARE - 1) / QUICK_SHARE : 0;
@@ -56,10 +56,15 @@
         if (best == nullptr || lane.calls < best->calls)
             best = &lane;
     }
+    return best;
+}
+
+std::optional<host_id> advice_book::take_lane(millis length, mono_time now) {
+    advice_lane* best = find_lane(length, now);
     if (best == nullptr)
         return std::nullopt;
     ++best->calls;
-    best->slow = best->slow || slow;
+    best->slow = best->slow || length >= SLOW_CALL;
     return best->host;
 }
 
--- a/src/dispatch/advice_book.hpp
+++ b/src/dispatch/advice_book.hpp
@@ -47,6 +47,11 @@
     /** Sets the hosts; the first third answers quick calls only. */
     void set_hosts(const std::vector<host_id>& hosts);
 
+    /** Tells whether `take_lane` would give a host. */
+    [[nodiscard]] bool has_lane(millis length, mono_time now) {
+        return find_lane(length, now) != nullptr;
+    }
+
     /** A host for a call of that length, or nothing when all are busy. */
     std::optional<host_id> take_lane(millis length, mono_time now);
 
@@ -66,6 +71,9 @@
     static constexpr millis SLOW_CALL{150};
 
 private:
+    /** The best host for a call, or null. */
+    advice_lane* find_lane(millis length, mono_time now);
+
     std::vector<advice_lane> lanes_;
     std::map<step_ref, step_advice> steps_;
 };
--- a/src/dispatch/job_book.cpp
+++ b/src/dispatch/job_book.cpp
@@ -40,6 +40,7 @@
     if (!added)
         return false;
     found->second.record = std::move(record);
+    found->second.chain = longest_chain(found->second.record.spec);
     return true;
 }
 
@@ -152,9 +153,17 @@
         return false;
     const step_spec& step_of = *spec(id.step);
     step_entry& step = *find(id.step);
-    task->avoid = task->target;
-    release(id);
-    std::int32_t attempts = ++task->failed;
+    if (task->phase == task_phase::placed && task->run == run) {
+        task->avoid = task->target;
+        release(id);
+    }
+    if (step_of.lasting)
+        return false; // Restarted however often it ends.
+    if (std::find(task->failed.begin(), task->failed.end(), run) !=
+        task->failed.end())
+        return false;
+    task->failed.push_back(run);
+    auto attempts = static_cast<std::int32_t>(task->failed.size());
     if (step_of.gang) {
         if (step.last_failed < run) {
             step.last_failed = run;
@@ -163,7 +172,7 @@
         attempts = step.failed_runs;
     }
     touch(id.step.job);
-    if (step_of.lasting || attempts < max_attempts || job->ended())
+    if (attempts < max_attempts || job->ended())
         return false;
     job->state = job_state::failed;
     job->ended_ms = wall_ms;
@@ -241,6 +250,7 @@
     const job_id id = job.record.id;
     jobs_[id] = std::move(job);
     job_entry& kept = jobs_[id];
+    kept.chain = longest_chain(kept.record.spec);
     for (auto& [number, repeat] : kept.repeats)
         open_steps(kept, repeat, now);
 }
--- a/src/dispatch/job_book.hpp
+++ b/src/dispatch/job_book.hpp
@@ -22,12 +22,12 @@
 /** One task of a step. */
 struct task_entry {
     task_phase phase = task_phase::waiting;
-    std::int32_t run = 0;    ///< Highest run number given out.
-    std::int32_t failed = 0; ///< Runs that ended as failed.
-    target_id target;        ///< While a run of it may exist.
-    std::int64_t born = 0;   ///< Life of that target.
-    std::string checkpoint;  ///< Newest seen; empty: none.
-    target_id avoid;         ///< Where its last run failed.
+    std::int32_t run = 0;             ///< Highest run number given out.
+    std::vector<std::int32_t> failed; ///< Runs that ended as failed.
+    target_id target;                 ///< While a run of it may exist.
+    std::int64_t born = 0;            ///< Life of that target.
+    std::string checkpoint;           ///< Newest seen; empty: none.
+    target_id avoid;                  ///< Where its last run failed.
 };
 
 /** One step of one repeat. */
@@ -55,6 +55,7 @@
     std::int32_t next_repeat = 0;
     job_state state = job_state::pending;
     std::int64_t ended_ms = 0; ///< Unix time; 0: not ended.
+    millis chain{0};           ///< Longest chain of estimated work.
     bool beyond_share = false; ///< Its organisation sent too many at once.
 
     [[nodiscard]] bool ended() const {
@@ -91,7 +92,7 @@
     void complete(const task_id& task, std::int64_t wall_ms, mono_time now);
 
     /**
-     * Takes a run's failure.
+     * Takes a run's failure, once: targets list an end again to a new owner.
      * @param max_attempts Failed runs after which the job has failed.
      * @return True if the job has failed now.
      */
--- a/src/dispatch/owner_base.cpp
+++ b/src/dispatch/owner_base.cpp
@@ -13,6 +13,8 @@
 
 namespace {
 
+/** Placements of one round share its cost; a check waits no longer. */
+constexpr millis SCHEDULE_PERIOD{8};
 constexpr millis SWEEP_PERIOD{1000};
 /** Ended jobs are kept a little longer than callers are promised. */
 constexpr millis KEPT_BEYOND{5000};
@@ -261,9 +263,13 @@
         return;
     open_due_repeats(clock);
     for (auto& [id, target] : targets_.all())
-        expire(target, clock);
-    if (std::exchange(schedule_due_, false))
+        if (!target.answers)
+            expire(target, clock);
+    if (schedule_due_ && clock.now >= next_schedule_) {
+        schedule_due_ = false;
+        next_schedule_ = clock.now + SCHEDULE_PERIOD;
         schedule(clock);
+    }
     send_stops(clock);
     flush(clock);
     send_looks(clock);
@@ -272,6 +278,8 @@
 
 mono_time owner::next_due(const owner_clock& clock) const {
     mono_time due = next_sweep_;
+    if (schedule_due_)
+        due = std::min(due, next_schedule_);
     for (const auto& [id, target] : targets_.all())
         if (!target.looking && target.listed)
             due = std::min(due, target.look_due);
--- a/src/dispatch/owner_base.hpp
+++ b/src/dispatch/owner_base.hpp
@@ -144,6 +144,7 @@
 
     // owner_start.cpp
     void schedule(const owner_clock& clock);
+    void collect_usable(mono_time now);
     [[nodiscard]] std::vector<runnable_step>
     runnable(const owner_clock& clock) const;
     void place_step(const runnable_step& step, const owner_clock& clock);
@@ -153,9 +154,10 @@
     void place_on(const runnable_step& step, std::int32_t index,
                   std::int32_t run, target_state& target,
                   const owner_clock& clock);
+    [[nodiscard]] std::vector<target_state*>
+    targets_for(const runnable_step& step, const owner_clock& clock);
     [[nodiscard]] bool eligible(const runnable_step& step,
-                                const target_state& target,
-                                mono_time now) const;
+                                const target_state& target) const;
     [[nodiscard]] std::int32_t slots(const runnable_step& step,
                                      const target_state& target) const;
     [[nodiscard]] resources quota_left(const runnable_step& step) const;
@@ -181,6 +183,8 @@
     // owner_stop.cpp
     void stop_run(target_state& target, const task_id& task,
                   const owner_clock& clock);
+    /** A run has to be told, or told again, to stop. */
+    void order_stop(target_state& target, const task_id& task, run_entry& run);
     void send_stops(const owner_clock& clock);
     void stop_job(const job_entry& job, const owner_clock& clock);
     void stop_gang(const step_ref& step, const owner_clock& clock);
@@ -207,6 +211,12 @@
     bool storing_ = false;
     bool deposed_ = false;
     bool schedule_due_ = false;
+    mono_time next_schedule_{};
+    /** Targets that may get work, and the largest room, of this round. */
+    std::vector<target_state*> usable_;
+    resources largest_room_;
+    /** Runs that have to be told to stop. */
+    std::set<std::pair<target_id, task_id>> to_stop_;
     mono_time confirmed_at_{};
     mono_time suspects_until_{}; ///< Leases of earlier owners end by then.
     mono_time next_sweep_{};
--- a/src/dispatch/owner_look.cpp
+++ b/src/dispatch/owner_look.cpp
@@ -9,7 +9,7 @@
 
 constexpr millis BUSY_WAIT{1000};   ///< A look waits so long for an end.
 constexpr millis SERVING_WAIT{500}; ///< Where tails have to be watched.
-constexpr millis IDLE_PERIOD{2000}; ///< Between looks at an idle target.
+constexpr millis IDLE_PERIOD{8000}; ///< Between looks at an idle target.
 constexpr millis RETRY_PERIOD{250}; ///< After a look without an answer.
 constexpr millis ANSWER_TIME{700};  ///< Beyond the wait that was asked for.
 constexpr millis LAPSE_MARGIN{100}; ///< Rounding and the kill itself.
@@ -130,10 +130,8 @@
             gone.push_back(task);
             break;
         case run_phase::unclear:
-            if (sent_at > run.since) {
-                run.phase = run_phase::stopping;
-                run.stop_sent = false;
-            }
+            if (sent_at > run.since)
+                order_stop(target, task, run);
             break;
         case run_phase::stopping:
             if (run.stop_acked != mono_time{} && sent_at > run.stop_acked)
@@ -194,9 +192,7 @@
         if (run.phase == run_phase::unclear ||
             run.phase == run_phase::starting ||
             (run.phase == run_phase::stopping && run.started == mono_time{})) {
-            run.phase = run_phase::stopping;
-            run.stop_sent = false;
-            run.stop_acked = {};
+            order_stop(target, task, run);
             continue;
         }
         gone.push_back(task);
--- a/src/dispatch/owner_start.cpp
+++ b/src/dispatch/owner_start.cpp
@@ -32,6 +32,15 @@
          parts_in(room.accelerators, each.accelerators)}));
 }
 
+/** Tells whether a task of an open step waits for a target. */
+bool has_waiting(const job_entry& job) {
+    for (const auto& [number, repeat] : job.repeats)
+        for (const step_entry& step : repeat.steps)
+            if (step.open && step.waiting > 0)
+                return true;
+    return false;
+}
+
 /** What a task takes of a target's room. */
 resources taken_by(const step_spec& spec) {
     resources out = spec.each;
@@ -47,11 +56,12 @@
     std::vector<runnable_step> out;
     for (const job_id& id : live_) {
         const job_entry& job = *jobs_.find(id);
+        if (job.ended() || !has_waiting(job))
+            continue;
         const queue_config* queue = find_queue(config_, job.record.queue);
-        if (job.ended() || queue == nullptr)
+        if (queue == nullptr)
             continue;
-        const double chain =
-            static_cast<double>(longest_chain(job.record.spec).count());
+        const auto chain = static_cast<double>(job.chain.count());
         const auto objective =
             static_cast<std::int64_t>(queue->stretch * chain) +
             queue->objective.count();
@@ -90,19 +100,36 @@
     return out;
 }
 
+void owner::collect_usable(mono_time now) {
+    usable_.clear();
+    largest_room_ = {};
+    for (auto& [id, target] : targets_.all()) {
+        if (!target.listed || !target.fenced || !target.answers ||
+            target.entry.draining || now < target.sick_until ||
+            evacuated_.contains(target.entry.data_centre))
+            continue;
+        usable_.push_back(&target);
+        const resources room = target.room();
+        largest_room_ = {
+            std::max(largest_room_.milli_cores, room.milli_cores),
+            std::max(largest_room_.memory_mib, room.memory_mib),
+            std::max(largest_room_.accelerators, room.accelerators)};
+    }
+}
+
 void owner::schedule(const owner_clock& clock) {
     if (!may_order(clock.now))
         return;
+    collect_usable(clock.now);
     for (const runnable_step& step : runnable(clock))
-        place_step(step, clock);
+        if (taken_by(*step.spec).fits_in(largest_room_))
+            place_step(step, clock);
 }
 
-bool owner::eligible(const runnable_step& step, const target_state& target,
-                     mono_time now) const {
+bool owner::eligible(const runnable_step& step,
+                     const target_state& target) const {
     const target_entry& entry = target.entry;
-    if (!target.listed || !target.fenced || !target.answers || entry.draining ||
-        now < target.sick_until || entry.service != step.queue->service ||
-        evacuated_.contains(entry.data_centre))
+    if (entry.service != step.queue->service)
         return false;
     return step.spec->required_label.empty() ||
            std::find(entry.labels.begin(), entry.labels.end(),
@@ -151,13 +178,7 @@
 void owner::place_step(const runnable_step& step, const owner_clock& clock) {
     if (!step.spec->each.fits_in(quota_left(step)))
         return;
-    const step_advice* advice =
-        step.queue->advice ? &advice_.of(step.ref) : nullptr;
-    std::vector<target_state*> usable;
-    for (auto& [id, target] : targets_.all())
-        if (eligible(step, target, clock.now) && slots(step, target) > 0 &&
-            (advice == nullptr || advice->valid(id, clock.now) != nullptr))
-            usable.push_back(&target);
+    std::vector<target_state*> usable = targets_for(step, clock);
     // Least room first keeps large gaps for large tasks; fillers go where
     // most is left, and a step stays near its data.
     const bool filling = step.spec->filling;
@@ -200,10 +221,25 @@
                      clock);
         }
     }
-    if (advice != nullptr && jobs_.find(step.ref)->waiting > 0)
+    if (step.queue->advice && jobs_.find(step.ref)->waiting > 0)
         ask(step, clock);
 }
 
+std::vector<target_state*> owner::targets_for(const runnable_step& step,
+                                              const owner_clock& clock) {
+    std::vector<target_state*> out;
+    const step_advice* advice =
+        step.queue->advice ? &advice_.of(step.ref) : nullptr;
+    if (advice != nullptr && advice->good.empty())
+        return out;
+    for (target_state* target : usable_)
+        if (slots(step, *target) > 0 && eligible(step, *target) &&
+            (advice == nullptr ||
+             advice->valid(target->entry.id, clock.now) != nullptr))
+            out.push_back(target);
+    return out;
+}
+
 void owner::place_gang(const runnable_step& step,
                        const std::vector<target_state*>& usable,
                        const owner_clock& clock) {
@@ -278,13 +314,12 @@
                       static_cast<double>(advice_book::SLOW_CALL.count());
     const double margin = slow ? ASK_MARGIN_SLOW : ASK_MARGIN_QUICK;
     std::vector<std::pair<std::int32_t, const target_state*>> candidates;
-    for (const auto& [id, target] : targets_.all()) {
-        if (advice.bad.contains(id) || advice.valid(id, clock.now) != nullptr ||
-            !eligible(step, target, clock.now))
-            continue;
-        const std::int32_t fit = slots(step, target);
-        if (fit > 0)
-            candidates.emplace_back(fit, &target);
+    for (const target_state* target : usable_) {
+        const std::int32_t fit = slots(step, *target);
+        const target_id& id = target->entry.id;
+        if (fit > 0 && eligible(step, *target) && !advice.bad.contains(id) &&
+            advice.valid(id, clock.now) == nullptr)
+            candidates.emplace_back(fit, target);
     }
     if (candidates.empty())
         return;
--- a/src/dispatch/owner_stop.cpp
+++ b/src/dispatch/owner_stop.cpp
@@ -18,25 +18,42 @@
         return drop_run(target, task); // Never sent.
     if (run.phase == run_phase::stopping)
         return;
-    run.phase = run_phase::stopping;
     run.since = clock.now;
+    order_stop(target, task, run);
+}
+
+void owner::order_stop(target_state& target, const task_id& task,
+                       run_entry& run) {
+    run.phase = run_phase::stopping;
     run.stop_sent = false;
+    run.stop_acked = {};
+    to_stop_.emplace(target.entry.id, task);
 }
 
 void owner::send_stops(const owner_clock& clock) {
     if (!may_order(clock.now))
         return;
-    for (auto& [id, target] : targets_.all())
-        for (auto& [task, run] : target.runs) {
-            if (run.phase != run_phase::stopping ||
-                run.stop_acked != mono_time{} || !target.answers)
-                continue;
-            if (run.stop_sent && clock.now < run.since + STOP_RETRY)
-                continue;
-            run.stop_sent = true;
-            run.since = clock.now;
-            output_.stop(address_of(target), task, run.run, settings_.epoch);
+    for (auto at = to_stop_.begin(); at != to_stop_.end();) {
+        const auto& [id, task] = *at;
+        target_state* target = targets_.find(id);
+        const auto run = target != nullptr ? target->runs.find(task)
+                                           : decltype(target->runs.end()){};
+        if (target == nullptr || run == target->runs.end() ||
+            run->second.phase != run_phase::stopping ||
+            run->second.stop_acked != mono_time{}) {
+            at = to_stop_.erase(at);
+            continue;
+        }
+        run_entry& entry = run->second;
+        const bool waits =
+            entry.stop_sent && clock.now < entry.since + STOP_RETRY;
+        if (target->answers && !waits) {
+            entry.stop_sent = true;
+            entry.since = clock.now;
+            output_.stop(address_of(*target), task, entry.run, settings_.epoch);
         }
+        ++at;
+    }
 }
 
 void owner::stop_answered(const target_id& id, const task_id& task,
@@ -122,11 +139,7 @@
         output_.log("run_failed", end.task.step.job,
                     "target=" + target.entry.id.value +
                         " run=" + std::to_string(run.run));
-        if (!current) {
-            ++task->failed;
-            jobs_.touch(end.task.step.job);
-        } else if (jobs_.fail(end.task, run.run, max_attempts(*job),
-                              clock.wall_ms)) {
+        if (jobs_.fail(end.task, run.run, max_attempts(*job), clock.wall_ms)) {
             stop_job(*job, clock);
         }
         break;
--- a/src/dispatch/record_codec.cpp
+++ b/src/dispatch/record_codec.cpp
@@ -71,7 +71,7 @@
         task_entry& task = step.tasks.at(row.at(0).get<size_t>());
         task.phase = static_cast<task_phase>(row.at(1).get<int>());
         task.run = row.at(2).get<std::int32_t>();
-        task.failed = row.at(3).get<std::int32_t>();
+        task.failed = row.at(3).get<std::vector<std::int32_t>>();
         task.checkpoint = row.at(4).get<std::string>();
         task.target = row.at(5).get<target_id>();
         task.born = row.at(6).get<std::int64_t>();
@@ -170,7 +170,8 @@
 }
 
 std::string encode_member(const member_record& member) {
-    return json::array({member.host, member.data_centre, member.address})
+    return json::array({member.host, member.data_centre, member.address,
+                        member.milli_cores})
         .dump();
 }
 
@@ -178,7 +179,8 @@
     return decoding("member", text, [](const json& in) {
         return member_record{.host = in.at(0).get<host_id>(),
                              .data_centre = in.at(1).get<data_centre_id>(),
-                             .address = in.at(2).get<std::string>()};
+                             .address = in.at(2).get<std::string>(),
+                             .milli_cores = in.at(3).get<std::int64_t>()};
     });
 }
 
--- a/src/dispatch/record_codec.hpp
+++ b/src/dispatch/record_codec.hpp
@@ -35,6 +35,7 @@
     host_id host;
     data_centre_id data_centre;
     std::string address;
+    std::int64_t milli_cores = 0; ///< Stronger hosts own first.
 };
 
 std::string encode_owner(const owner_record& owner);
--- a/src/front/member_service.cpp
+++ b/src/front/member_service.cpp
@@ -17,9 +17,15 @@
 const std::string OWNER_KEY = "owner";
 const std::string HOST_PREFIX = "host/";
 constexpr millis BEAT_PERIOD{250};
-constexpr millis BEAT_TIME{350};    ///< An answer is given up after this.
-constexpr millis SILENCE{700};      ///< Of the owner, before others claim.
-constexpr millis CLAIM_WAIT{400};   ///< A read for claims waits so long.
+constexpr millis BEAT_TIME{600}; ///< An answer is given up after this.
+constexpr millis SILENCE{800};   ///< Of the owner, before others claim.
+/** A new owner has much to do at first: a claim then would repeat it. */
+constexpr millis SETTLING{6000};
+constexpr millis SETTLING_SILENCE{2000};
+constexpr millis CLAIM_WAIT{400};       ///< A read for claims waits so long.
+constexpr std::int64_t MOST_RANKS = 12; ///< Later ones claim together.
+/** No owner ever: the other hosts have to announce themselves first. */
+constexpr millis FIRST_CLAIM{700};
 constexpr millis REFUSAL{250};      ///< The same when connections are refused.
 constexpr int REFUSALS = 2;         ///< In a row.
 constexpr millis RANK_STEP{120};    ///< Between claims of different hosts.
@@ -59,7 +65,8 @@
     const std::string value =
         dispatch::encode_member({.host = settings_.host,
                                  .data_centre = settings_.data_centre,
-                                 .address = own_address_});
+                                 .address = own_address_,
+                                 .milli_cores = settings_.milli_cores});
     store_.append({.topic = MEMBERS_TOPIC,
                    .records = {{.key = HOST_PREFIX + settings_.host.value,
                                 .value = value}},
@@ -100,6 +107,7 @@
                {"host", owner.host.value},
                {"resigned", owner.address.empty() ? "yes" : "no"}});
     heard_ = event_loop::now();
+    changed_at_ = heard_;
     refused_ = 0;
     if (owns_ && (!mine || !same)) {
         owns_ = false;
@@ -180,16 +188,26 @@
 }
 
 millis member_service::patience() const {
+    // The strongest host owns; the others follow in order.
     std::int64_t rank = 0;
-    for (const auto& [host, member] : known_)
-        if (host < settings_.host && host != owner_.host)
+    for (const auto& [host, member] : known_) {
+        const bool before = member.milli_cores != settings_.milli_cores
+                                ? member.milli_cores > settings_.milli_cores
+                                : host < settings_.host;
+        if (before && host != owner_.host)
             ++rank;
-    const millis stagger = RANK_STEP * rank;
+    }
+    const millis stagger = RANK_STEP * std::min(rank, MOST_RANKS);
+    if (owner_.epoch == 0)
+        return FIRST_CLAIM + stagger;
     if (owner_.address.empty())
         return stagger;
     if (owner_.host == settings_.host && owner_.life != life_)
         return millis(0); // An earlier process of this host.
-    return stagger + (refused_ >= REFUSALS ? REFUSAL : SILENCE);
+    if (refused_ >= REFUSALS)
+        return stagger + REFUSAL;
+    const bool settling = event_loop::now() - changed_at_ < SETTLING;
+    return stagger + (settling ? SETTLING_SILENCE : SILENCE);
 }
 
 void member_service::consider_claim() {
--- a/src/front/member_service.hpp
+++ b/src/front/member_service.hpp
@@ -80,8 +80,9 @@
     std::map<host_id, dispatch::member_record> known_;
     std::map<std::string, std::unique_ptr<rpc_client>> peers_;
     dispatch::owner_record owner_;
-    mono_time heard_{}; ///< When the owner last answered well.
-    int refused_ = 0;   ///< Connections to it in a row.
+    mono_time heard_{};      ///< When the owner last answered well.
+    mono_time changed_at_{}; ///< When the owner last changed.
+    int refused_ = 0;        ///< Connections to it in a row.
     bool owns_ = false;
     bool claiming_ = false;
     bool leaving_ = false;
--- a/src/platform/platform_settings.cpp
+++ b/src/platform/platform_settings.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr double MILLIS_A_SECOND = 1000;
+constexpr double MILLI = 1000;
 
 /** The file's fields with their line numbers. */
 class field_file {
@@ -107,6 +108,9 @@
         .store_address = fields.text("platform.address"),
         .advice_address = fields.text("advice", ""),
         .machines_address = fields.text("cloudApi.address", ""),
+        .milli_cores =
+            static_cast<std::int64_t>(fields.number("limits.cpuShare") *
+                                      fields.number("limits.cpuCores") * MILLI),
         .max_descriptors =
             static_cast<std::size_t>(fields.number("limits.maxFds")),
         .append_bytes =
--- a/src/platform/platform_settings.hpp
+++ b/src/platform/platform_settings.hpp
@@ -22,6 +22,7 @@
     std::string store_address;
     std::string advice_address;   ///< Empty: no advice service.
     std::string machines_address; ///< Empty: no machines to look after.
+    std::int64_t milli_cores = 0; ///< Of this host, for our processes.
     std::size_t max_descriptors = 0;
     std::int64_t append_bytes = 0; ///< Most bytes of one append.
     double writes_per_s = 0;       ///< Of all hosts together.
--- a/tests/dispatch_load_test.cpp
+++ b/tests/dispatch_load_test.cpp
@@ -193,3 +193,26 @@
     EXPECT_GE(share_in_time(cell.result_of("calm")), TARGET_SHARE);
     EXPECT_EQ(cell.overcommitted_starts(), 0);
 }
+
+// Seven times the targets and three times the load of the small cells.
+TEST(dispatch_load, grown_cell_ends_in_time) {
+    world cell({.seed = 91, .targets = 350, .hosts = 34});
+    request_kind grown_checks = checks();
+    grown_checks.per_second = 32;
+    grown_checks.width = 10;
+    grown_checks.milli_cores = 4100;
+    request_kind grown_plans = plans();
+    grown_plans.per_second = 3.9;
+    grown_plans.width = 17;
+    grown_plans.milli_cores = 8800;
+    cell.add_queue(grown_checks);
+    cell.add_queue(grown_plans);
+    cell.add_organisation("a", 1000);
+    cell.submit_from(grown_checks, "a", millis(2000), millis(14000));
+    cell.submit_from(grown_plans, "a", millis(2000), millis(14000));
+    cell.run_until(millis(60000));
+    EXPECT_GE(share_in_time(cell.result("checks")), TARGET_SHARE);
+    EXPECT_GE(share_in_time(cell.result("plans")), TARGET_SHARE);
+    EXPECT_EQ(cell.overlapping_runs(), 0);
+    EXPECT_EQ(cell.overcommitted_starts(), 0);
+}
--- a/tests/process_front_test.cpp
+++ b/tests/process_front_test.cpp
@@ -93,7 +93,8 @@
             << "\nlistenAddrs.readyAddr=" << ip
             << ":8184\ninternalPorts=7420,7435\nplatform.address=" << net_
             << "100:21000\nadvice=" << net_
-            << "100:21002\nlimits.maxFds=2000\nplatform.callBytes=2097152\n"
+            << "100:21002\nlimits.maxFds=2000\nlimits.cpuShare=0.25\nlimits."
+               "cpuCores=1\nplatform.callBytes=2097152\n"
                "platform.writesPerS=600\nheartbeatMs=1500\n"
                "bounds.maxHoldMs=6000\nbounds.stopMs=200\n"
                "bounds.gangWaitMs=3000\nbounds.graceS=6\n"
