--- a/src/dispatch/record_codec.cpp
+++ b/src/dispatch/record_codec.cpp
@@ -14,7 +14,7 @@
 auto decoding(const char* what, const std::string& text, Decode decode) {
     try {
         return decode(json::parse(text));
-    } catch (const json::exception& failure) {
+    } catch (const std::exception& failure) {
         throw decode_error(std::string("stored ") + what + ": " +
                            failure.what());
     }
--- a/src/front/front_service.cpp
+++ b/src/front/front_service.cpp
@@ -21,6 +21,7 @@
 constexpr millis HEDGE_DELAY{350};      ///< Then another host is asked besides.
 constexpr millis PROBE_PERIOD{500};     ///< Of a store that fails here.
 constexpr std::size_t MOST_HELPERS = 2; ///< Hosts tried for one record.
+constexpr millis STORE_SILENT{1500};    ///< Then this host counts as cut off.
 constexpr millis OWNER_SILENT{600};     ///< Then states come from the store.
 constexpr millis OWNER_HEARD{300};      ///< Then they come from it again.
 constexpr millis WATCH_PERIOD{200};
@@ -120,7 +121,13 @@
 }
 
 bool front_service::ready() const {
-    return !leaving_ && config_.version > 0 && members_.ready();
+    return !leaving_ && config_.version > 0 && members_.ready() && connected();
+}
+
+bool front_service::connected() const {
+    // Without the store, writes go through the owner's host.
+    return members_.store_age() < STORE_SILENT ||
+           (!members_.owns() && members_.owner_age() < OWNER_SILENT);
 }
 
 void front_service::take_operator_record(const keyed_record& record) {
@@ -370,7 +377,10 @@
                {"status", std::to_string(status)},
                {"ms", std::to_string(took)},
                {"config", std::to_string(config_.version)}});
-    caller->answer(refusal(status));
+    http_reply reply = refusal(status);
+    // A caller of a host that is cut off does better at another one.
+    reply.close = result != write_result::stored && !connected();
+    caller->answer(reply);
 }
 
 void front_service::show(const std::shared_ptr<call>& caller) {
@@ -399,8 +409,11 @@
             ? states_->state_of(caller->job, caller->organisation)
             : job_state::unknown;
     // What is not in this copy may still be on its way to it.
-    if (state == job_state::unknown)
-        return caller->answer(refusal(503));
+    if (state == job_state::unknown) {
+        http_reply reply = refusal(503);
+        reply.close = !connected();
+        return caller->answer(reply);
+    }
     reply_state(caller, state);
 }
 
--- a/src/front/front_service.hpp
+++ b/src/front/front_service.hpp
@@ -69,6 +69,8 @@
     void operator_records_loaded(const std::set<std::string>& keys);
     void serve_peers();
     [[nodiscard]] bool ready() const;
+    /** Tells whether this host can have a record stored. */
+    [[nodiscard]] bool connected() const;
 
     event_loop& loop_;
     platform::platform_settings settings_;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -60,7 +60,7 @@
     if (!reply.request_id.empty())
         MHD_add_response_header(response, "X-Request-Id",
                                 reply.request_id.c_str());
-    if (close)
+    if (close || reply.close)
         MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION, "close");
     const MHD_Result result = MHD_queue_response(
         connection, static_cast<unsigned>(reply.status), response);
--- a/src/net/http_type.hpp
+++ b/src/net/http_type.hpp
@@ -31,6 +31,7 @@
     std::string content_type = "application/json";
     int retry_after_s = 0;  ///< Sent as `Retry-After` when over 0.
     std::string request_id; ///< Sent as `X-Request-Id` when given.
+    bool close = false;     ///< The connection ends with this answer.
 };
 
 /** A call to an outside service. */
