--- a/src/dispatch/owner_look.cpp
+++ b/src/dispatch/owner_look.cpp
@@ -164,8 +164,20 @@
         }
         return;
     }
-    if (found != target.runs.end())
-        return; // An older run; the newer one's start shuts it out.
+    if (found != target.runs.end()) {
+        // An older run is there, so the newer one never came: stop what is.
+        output_.log("run_outdated", listed.task.step.job,
+                    "target=" + target.entry.id.value +
+                        " run=" + std::to_string(listed.run) +
+                        " newer=" + std::to_string(found->second.run));
+        if (found->second.phase != run_phase::recording &&
+            listed.run < found->second.run) {
+            found->second.run = listed.run;
+            found->second.since = clock.now;
+            order_stop(target, listed.task, found->second);
+        }
+        return;
+    }
     // A run that no job accounts for: of an ended job, or of an old owner.
     const step_spec* spec = jobs_.spec(listed.task.step);
     const job_entry* job = jobs_.find(listed.task.step.job);
--- a/src/dispatch/owner_stop.cpp
+++ b/src/dispatch/owner_stop.cpp
@@ -105,7 +105,7 @@
     targets_.remove_run(target, task);
     const task_entry* entry = jobs_.find(task);
     if (entry != nullptr && entry->phase == task_phase::placed &&
-        entry->run == run && entry->target == target.entry.id)
+        entry->run >= run && entry->target == target.entry.id)
         jobs_.release(task);
     schedule_due_ = true;
 }
