Spread the owner's calls over strong hosts in large cells

Change: above 120 targets a target's calls go through one of the strong hosts; one that does not answer rests for 3 s. The store's answers to appends count for the owner's store age: a pause of the reads alone cost a takeover. A stop that was confirmed without effect is repeated.

--- a/proto/rattan.thrift
+++ b/proto/rattan.thrift
@@ -15,7 +15,8 @@
     JOB_STATE = 8, // owner: state of one job, for a caller
     WAITING = 9,   // owner: how many jobs of a queue wait
     ADVISE = 10,   // entry host: ask the advice service on the owner's behalf
-    STORE = 11     // entry host: append a record that the sender can't append
+    STORE = 11,    // entry host: append a record that the sender can't append
+    CALL = 12      // entry host: make a call to a target for the owner
 }
 
 enum status {
@@ -151,3 +152,16 @@
     1: required string key,
     2: required binary value
 }
+
+struct call_request {
+    1: required string url,
+    2: required string body,
+    3: required list<string> headers,
+    4: required i32 timeout_ms
+}
+
+struct call_reply {
+    1: required i32 outcome,  // http_outcome
+    2: required i32 status,
+    3: required binary body
+}
--- a/src/dispatch/owner_look.cpp
+++ b/src/dispatch/owner_look.cpp
@@ -15,6 +15,8 @@
 constexpr millis LAPSE_MARGIN{100}; ///< Rounding and the kill itself.
 /** With ends not yet stored, a look only renews the lease, this often. */
 constexpr millis RENEW_PERIOD{800};
+/** A run listed so long after its stop was confirmed is stopped again. */
+constexpr millis STOP_GRACE{500};
 constexpr int FULL_PACE = 100;
 
 } // namespace
@@ -155,6 +157,12 @@
         run.percent = listed.percent;
         run.figure = listed.figure;
         jobs_.keep_checkpoint(listed.task, listed.checkpoint);
+        if (run.phase == run_phase::stopping && run.stop_acked != mono_time{} &&
+            clock.now > run.stop_acked + settings_.stop_time + STOP_GRACE) {
+            output_.log("stop_without_effect", listed.task.step.job,
+                        "target=" + target.entry.id.value);
+            order_stop(target, listed.task, run);
+        }
         if (run.phase == run_phase::suspect ||
             run.phase == run_phase::unclear ||
             run.phase == run_phase::starting) {
--- /dev/null
+++ b/src/front/delegate_service.cpp
@@ -0,0 +1,100 @@
+#include "front/delegate_service.hpp"
+
+#include "base/log_func.hpp"
+#include "net/wire_func.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace rattan::front {
+
+namespace {
+
+/** Up to here one host makes all calls: a hop costs more than it saves. */
+constexpr std::size_t MOST_TARGETS_ALONE = 120;
+constexpr millis REFRESH_PERIOD{1000};
+constexpr millis REST{3000}; ///< Of a host that did not answer.
+/** The other host's own time-out comes first; this one says it is gone. */
+constexpr millis HOP_TIME{800};
+
+} // namespace
+
+delegate_service::delegate_service(event_loop& loop, http_client& http,
+                                   member_service& members, host_id own)
+    : loop_(loop), http_(http), members_(members), own_(std::move(own)) {}
+
+void delegate_service::refresh() {
+    const mono_time now = event_loop::now();
+    if (now - refreshed_ < REFRESH_PERIOD && !addresses_.empty())
+        return;
+    refreshed_ = now;
+    std::int64_t strongest = 0;
+    for (const auto& [host, member] : members_.members())
+        strongest = std::max(strongest, member.milli_cores);
+    addresses_.clear();
+    for (const auto& [host, member] : members_.members())
+        if (member.milli_cores * 2 >= strongest)
+            addresses_.push_back(host == own_ ? std::string() : member.address);
+    if (addresses_.empty())
+        addresses_.emplace_back();
+}
+
+void delegate_service::call(const http_call& call, http_client::callback done) {
+    if (targets_ <= MOST_TARGETS_ALONE)
+        return http_.call(call, std::move(done));
+    refresh();
+    const size_t authority_end = call.url.find('/', call.url.find("//") + 2);
+    const std::string address =
+        addresses_[XXH64(call.url.data(),
+                         std::min(authority_end, call.url.size()), 0) %
+                   addresses_.size()];
+    const auto resting = resting_.find(address);
+    if (address.empty() ||
+        (resting != resting_.end() && event_loop::now() < resting->second))
+        return http_.call(call, std::move(done));
+    wire::call_request request;
+    request.url = call.url;
+    request.body = call.body;
+    request.headers = call.headers;
+    request.timeout_ms = static_cast<std::int32_t>(call.timeout.count());
+    members_.peer(address).call(
+        wire::method::CALL, wire_encode(request), call.timeout + HOP_TIME,
+        [this, address, call,
+         done = std::move(done)](const rpc_answer& answer) {
+            if (answer.ok()) {
+                auto reply = wire_decode<wire::call_reply>(answer.body);
+                return done(
+                    {.outcome = static_cast<http_outcome>(reply.outcome),
+                     .status = reply.status,
+                     .body = std::move(reply.body)});
+            }
+            resting_[address] = event_loop::now() + REST;
+            log_event(log_level::warning, "delegate_failed",
+                      {{"address", address}});
+            if (answer.result == rpc_result::not_sent)
+                return http_.call(call, done);
+            done({.outcome = http_outcome::unknown});
+        });
+}
+
+void delegate_service::serve(rpc_server& server, http_client& http) {
+    server.on(wire::method::CALL, [&http](const std::string& body,
+                                          rpc_server::responder answer) {
+        auto request = wire_decode<wire::call_request>(body);
+        http.call({.method = "POST",
+                   .url = std::move(request.url),
+                   .body = std::move(request.body),
+                   .headers = std::move(request.headers),
+                   .timeout = millis(request.timeout_ms)},
+                  [answer = std::move(answer)](const http_answer& got) {
+                      wire::call_reply reply;
+                      reply.outcome = static_cast<std::int32_t>(got.outcome);
+                      reply.status = got.status;
+                      reply.body = got.body;
+                      answer(wire::status::OK, wire_encode(reply));
+                  });
+    });
+}
+
+} // namespace rattan::front
--- a/src/front/front_service.cpp
+++ b/src/front/front_service.cpp
@@ -51,7 +51,7 @@
                     [this](std::int64_t epoch) {
                         owner_ = std::make_unique<owner_service>(
                             owner_context{loop_, http_, store_, settings_,
-                                          members_, metrics_},
+                                          members_, metrics_, delegates_},
                             epoch);
                         owner_->confirmed(event_loop::now());
                         owner_->set_config(config_);
@@ -74,6 +74,7 @@
                         if (owner_)
                             owner_->set_hosts();
                     }}),
+      delegates_(loop, http_, members_, settings.host),
       operator_(
           loop, store_,
           {.topic = platform::OPERATOR_TOPIC, .wait = millis(700)},
@@ -176,6 +177,7 @@
 
 void front_service::serve_peers() {
     rpc_ = std::make_unique<rpc_server>(loop_, rpc_address_);
+    delegate_service::serve(*rpc_, http_);
     rpc_->on(wire::method::BEAT,
              [this](const std::string&, const rpc_server::responder& answer) {
                  answer(wire::status::OK, members_.answer_beat());
@@ -200,6 +202,7 @@
                        wire_encode(reply));
             });
     });
+    delegate_service::serve(*rpc_, http_);
     rpc_->on(wire::method::STORE, [this](const std::string& body,
                                          rpc_server::responder answer) {
         const auto request = wire_decode<wire::store_request>(body);
--- a/src/front/front_service.hpp
+++ b/src/front/front_service.hpp
@@ -80,6 +80,7 @@
     platform::store_client store_;
     std::string rpc_address_;
     member_service members_;
+    delegate_service delegates_;
     topic_follower operator_;
     record_writer writer_;
     dispatch::cell_config config_;
--- a/src/front/member_service.cpp
+++ b/src/front/member_service.cpp
@@ -120,7 +120,7 @@
 }
 
 millis member_service::store_age() const {
-    return event_loop::now() - members_.answered_at();
+    return event_loop::now() - std::max(members_.answered_at(), store_heard_);
 }
 
 millis member_service::owner_age() const {
--- a/src/front/member_service.hpp
+++ b/src/front/member_service.hpp
@@ -43,6 +43,10 @@
     [[nodiscard]] bool ready() const { return members_.loaded(); }
     [[nodiscard]] bool owns() const { return owns_; }
     [[nodiscard]] const dispatch::owner_record& owner() const { return owner_; }
+    /** The store has answered another part of this process. */
+    void store_answered(mono_time sent_at) {
+        store_heard_ = std::max(store_heard_, sent_at);
+    }
     /** Time since the store last answered. */
     [[nodiscard]] millis store_age() const;
     /** Time since the owner was last heard. */
@@ -80,9 +84,10 @@
     std::map<host_id, dispatch::member_record> known_;
     std::map<std::string, std::unique_ptr<rpc_client>> peers_;
     dispatch::owner_record owner_;
-    mono_time heard_{};      ///< When the owner last answered well.
-    mono_time changed_at_{}; ///< When the owner last changed.
-    int refused_ = 0;        ///< Connections to it in a row.
+    mono_time heard_{};       ///< When the owner last answered well.
+    mono_time store_heard_{}; ///< By other parts of this process.
+    mono_time changed_at_{};  ///< When the owner last changed.
+    int refused_ = 0;         ///< Connections to it in a row.
     bool owns_ = false;
     bool claiming_ = false;
     bool leaving_ = false;
--- a/src/front/owner_service.cpp
+++ b/src/front/owner_service.cpp
@@ -63,7 +63,11 @@
 }
 
 owner_service::owner_service(const owner_context& context, std::int64_t epoch)
-    : context_(context), targets_(context.http),
+    : context_(context),
+      targets_([&delegates = context.delegates](const http_call& call,
+                                                http_client::callback done) {
+          delegates.call(call, std::move(done));
+      }),
       owner_(decide_settings(context.settings, epoch), *this), epoch_(epoch),
       suspended_before_(time_suspended()) {
     jobs_ = std::make_unique<topic_follower>(
@@ -248,6 +252,7 @@
 
 void owner_service::tick() {
     tick_scheduled_ = false;
+    context_.delegates.set_targets(owner_.targets().all().size());
     owner_.tick(clock());
     if (owner_.deposed())
         return context_.members.deposed();
@@ -385,6 +390,7 @@
                  sent_at = event_loop::now()](const append_answer& answer) {
             switch (answer.result) {
             case store_result::ok:
+                context_.members.store_answered(sent_at);
                 owner_.confirmed(sent_at);
                 return done();
             case store_result::fenced:
--- a/src/front/owner_service.hpp
+++ b/src/front/owner_service.hpp
@@ -3,6 +3,7 @@
 
 #include "base/metrics_base.hpp"
 #include "dispatch/owner_base.hpp"
+#include "front/delegate_service.hpp"
 #include "front/member_service.hpp"
 #include "front/topic_follower.hpp"
 #include "platform/target_client.hpp"
@@ -25,6 +26,7 @@
     const platform::platform_settings& settings;
     member_service& members;
     metrics_registry& metrics;
+    delegate_service& delegates;
 };
 
 /** One ownership: loads what was before, then decides until it is lost. */
