Replace an owner at once when it says that it misses the store

Change: a host that reached the store within 0.6 s claims as soon as the owner's beat says that it has missed the store for 1 s.

--- a/src/front/member_service.cpp
+++ b/src/front/member_service.cpp
@@ -30,6 +30,8 @@
 constexpr int REFUSALS = 2;         ///< In a row.
 constexpr millis RANK_STEP{120};    ///< Between claims of different hosts.
 constexpr millis STORE_FRESH{1000}; ///< A host without the store can't own.
+/** This host reaches a store that the owner does not: reads wait 0.4 s. */
+constexpr millis STORE_REACHED{600};
 constexpr millis CALL_TIME{800};
 constexpr millis RETRY_TIME{200};
 
@@ -108,6 +110,7 @@
                {"resigned", owner.address.empty() ? "yes" : "no"}});
     heard_ = event_loop::now();
     changed_at_ = heard_;
+    cut_off_ = false;
     refused_ = 0;
     if (owns_ && (!mine || !same)) {
         owns_ = false;
@@ -181,9 +184,11 @@
     }
     refused_ = 0;
     const auto reply = wire_decode<wire::beat_reply>(answer.body);
+    if (reply.epoch < owner_.epoch || reply.owner_address != owner_.address)
+        return;
     // An owner that the store turns away can't start anything.
-    if (reply.epoch >= owner_.epoch && reply.owner_address == owner_.address &&
-        reply.store_age_ms < STORE_FRESH.count())
+    cut_off_ = reply.store_age_ms >= STORE_FRESH.count();
+    if (!cut_off_)
         heard_ = event_loop::now();
 }
 
@@ -206,6 +211,9 @@
         return millis(0); // An earlier process of this host.
     if (refused_ >= REFUSALS)
         return stagger + REFUSAL;
+    // Its silence has been waited for already, at the store.
+    if (cut_off_ && store_age() < STORE_REACHED)
+        return stagger;
     const bool settling = event_loop::now() - changed_at_ < SETTLING;
     return stagger + (settling ? SETTLING_SILENCE : SILENCE);
 }
--- a/src/front/member_service.hpp
+++ b/src/front/member_service.hpp
@@ -85,6 +85,7 @@
     std::map<std::string, std::unique_ptr<rpc_client>> peers_;
     dispatch::owner_record owner_;
     mono_time heard_{};       ///< When the owner last answered well.
+    bool cut_off_ = false;    ///< The owner said that it misses the store.
     mono_time store_heard_{}; ///< By other parts of this process.
     mono_time changed_at_{};  ///< When the owner last changed.
     int refused_ = 0;         ///< Connections to it in a row.
