--- /dev/null
+++ b/src/dispatch/owner_place.cpp
@@ -0,0 +1,360 @@
+/** @file What is started next, and where. */
+#include "dispatch/owner_base.hpp"
+#include "dispatch/route_func.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace rattan::dispatch {
+
+namespace {
+
+/** Past this multiple of its objective a job earns nothing any more. */
+constexpr int WORTHLESS_AFTER = 3;
+/** More targets are asked about than needed: some may not run the step. */
+constexpr double ASK_MARGIN_QUICK = 2.0;
+constexpr double ASK_MARGIN_SLOW = 4.0;
+constexpr size_t FEWEST_ASKED = 8;
+constexpr size_t MOST_ASKED = 100;      ///< Of one call to the advice service.
+constexpr millis ADVICE_SLACK{1500};    ///< On top of the work of a call.
+constexpr std::int32_t MOST_SLOTS = 64; ///< Counted on one target.
+
+std::int64_t parts_in(std::int64_t room, std::int64_t each) {
+    return each <= 0 ? MOST_SLOTS : std::max<std::int64_t>(0, room / each);
+}
+
+/** How many tasks of a size fit into a room. */
+std::int32_t fit_count(const resources& room, const resources& each) {
+    return static_cast<std::int32_t>(std::min<std::int64_t>(
+        {MOST_SLOTS, parts_in(room.milli_cores, each.milli_cores),
+         parts_in(room.memory_mib, each.memory_mib),
+         parts_in(room.accelerators, each.accelerators)}));
+}
+
+/** Tells whether a task of an open step waits for a target. */
+bool has_waiting(const job_entry& job) {
+    for (const auto& [number, repeat] : job.repeats)
+        for (const step_entry& step : repeat.steps)
+            if (step.open && step.waiting > 0)
+                return true;
+    return false;
+}
+
+} // namespace
+
+std::vector<owner::runnable_step>
+owner::runnable(const owner_clock& clock) const {
+    std::vector<runnable_step> out;
+    for (const job_id& id : live_) {
+        const job_entry& job = *jobs_.find(id);
+        if (job.ended() || !has_waiting(job))
+            continue;
+        const queue_config* queue = find_queue(config_, job.record.queue);
+        if (queue == nullptr)
+            continue;
+        const auto chain = static_cast<double>(job.chain.count());
+        const auto objective =
+            static_cast<std::int64_t>(queue->stretch * chain) +
+            queue->objective.count();
+        for (const auto& [number, repeat] : job.repeats) {
+            const std::int64_t begin =
+                job.record.spec.repeats == 0
+                    ? job.record.accepted_ms
+                    : job.record.spec.first_due_ms +
+                          number * job.record.spec.interval.count();
+            const std::int64_t age = clock.wall_ms - begin;
+            const int lateness = age < objective                     ? 0
+                                 : age < objective * WORTHLESS_AFTER ? 1
+                                                                     : 2;
+            for (size_t s = 0; s < repeat.steps.size(); ++s) {
+                if (!repeat.steps[s].open || repeat.steps[s].waiting == 0)
+                    continue;
+                const step_spec& spec = job.record.spec.steps[s];
+                out.push_back(
+                    {.ref = {id, number, static_cast<std::int32_t>(s)},
+                     .priority = queue->priority,
+                     .beyond_share = job.beyond_share,
+                     .lateness = spec.lasting ? 0 : lateness,
+                     .due_ms = begin + objective,
+                     .spec = &spec,
+                     .queue = queue});
+            }
+        }
+    }
+    std::sort(out.begin(), out.end(),
+              [](const runnable_step& a, const runnable_step& b) {
+                  return std::tuple(a.lateness == 2, a.beyond_share, a.priority,
+                                    a.lateness, a.due_ms, a.ref) <
+                         std::tuple(b.lateness == 2, b.beyond_share, b.priority,
+                                    b.lateness, b.due_ms, b.ref);
+              });
+    return out;
+}
+
+void owner::collect_usable(mono_time now) {
+    usable_.clear();
+    largest_room_ = {};
+    for (auto& [id, target] : targets_.all()) {
+        if (!target.listed || !target.fenced || !target.answers ||
+            target.entry.draining || now < target.sick_until ||
+            evacuated_.contains(target.entry.data_centre))
+            continue;
+        usable_.push_back(&target);
+        const resources room = target.room();
+        largest_room_ = {
+            std::max(largest_room_.milli_cores, room.milli_cores),
+            std::max(largest_room_.memory_mib, room.memory_mib),
+            std::max(largest_room_.accelerators, room.accelerators)};
+    }
+}
+
+void owner::schedule(const owner_clock& clock) {
+    if (!may_order(clock.now))
+        return;
+    collect_usable(clock.now);
+    for (const runnable_step& step : runnable(clock))
+        if (room_taken(step.spec->each, step.spec->filling)
+                .fits_in(largest_room_))
+            place_step(step, clock);
+}
+
+bool owner::eligible(const runnable_step& step,
+                     const target_state& target) const {
+    const target_entry& entry = target.entry;
+    if (entry.service != step.queue->service)
+        return false;
+    return step.spec->required_label.empty() ||
+           std::find(entry.labels.begin(), entry.labels.end(),
+                     step.spec->required_label) != entry.labels.end();
+}
+
+std::int32_t owner::slots(const runnable_step& step,
+                          const target_state& target) const {
+    std::int32_t fit = fit_count(
+        target.room(), room_taken(step.spec->each, step.spec->filling));
+    if (step.spec->filling) {
+        const std::int64_t left =
+            target.room().milli_cores - target.filling_cores;
+        fit = std::min<std::int32_t>(
+            fit, static_cast<std::int32_t>(parts_in(
+                     std::max<std::int64_t>(0, left),
+                     std::max<std::int64_t>(1, step.spec->each.milli_cores))));
+    }
+    if (step.spec->spread_limit > 0) {
+        std::int32_t present = 0;
+        auto at = target.runs.lower_bound(task_id{step.ref, 0});
+        for (; at != target.runs.end() && at->first.step == step.ref; ++at)
+            ++present;
+        fit = std::min(fit, step.spec->spread_limit - present);
+    }
+    return std::max(0, fit);
+}
+
+resources owner::quota_left(const runnable_step& step) const {
+    constexpr std::int64_t ALL = std::numeric_limits<std::int64_t>::max();
+    const organisation_id& name = jobs_.find(step.ref.job)->record.organisation;
+    const organisation_config* organisation = find_organisation(config_, name);
+    resources left{ALL, ALL, ALL};
+    if (organisation == nullptr)
+        return left;
+    const resources used = targets_.usage(name);
+    const resources& limit = organisation->limit;
+    if (limit.milli_cores > 0)
+        left.milli_cores = limit.milli_cores - used.milli_cores;
+    if (limit.memory_mib > 0)
+        left.memory_mib = limit.memory_mib - used.memory_mib;
+    if (limit.accelerators > 0)
+        left.accelerators = limit.accelerators - used.accelerators;
+    return left;
+}
+
+void owner::place_step(const runnable_step& step, const owner_clock& clock) {
+    if (!step.spec->each.fits_in(quota_left(step)))
+        return;
+    std::vector<target_state*> usable = targets_for(step, clock);
+    // Least room first keeps large gaps for large tasks; fillers go where
+    // most is left, and a step stays near its data.
+    const bool filling = step.spec->filling;
+    const std::string& rack = step.spec->near_rack;
+    std::sort(usable.begin(), usable.end(),
+              [&](const target_state* a, const target_state* b) {
+                  const bool a_far = !rack.empty() && a->entry.rack != rack;
+                  const bool b_far = !rack.empty() && b->entry.rack != rack;
+                  if (a_far != b_far)
+                      return b_far;
+                  const std::int64_t a_room = a->room().milli_cores;
+                  const std::int64_t b_room = b->room().milli_cores;
+                  if (a_room != b_room)
+                      return filling ? a_room > b_room : a_room < b_room;
+                  return a->entry.id < b->entry.id;
+              });
+    if (step.spec->gang) {
+        place_gang(step, usable, clock);
+    } else {
+        step_entry& entry = *jobs_.find(step.ref);
+        size_t at = 0;
+        for (size_t i = 0; i < entry.tasks.size() && at < usable.size(); ++i) {
+            const task_entry& task = entry.tasks[i];
+            if (task.phase != task_phase::waiting)
+                continue;
+            if (!step.spec->each.fits_in(quota_left(step)))
+                return;
+            while (at < usable.size() && slots(step, *usable[at]) == 0)
+                ++at;
+            if (at == usable.size())
+                break;
+            target_state* choice = usable[at];
+            if (choice->entry.id == task.avoid)
+                for (size_t other = at + 1; other < usable.size(); ++other)
+                    if (slots(step, *usable[other]) > 0) {
+                        choice = usable[other];
+                        break;
+                    }
+            place_on(step, static_cast<std::int32_t>(i), task.run + 1, *choice,
+                     clock);
+        }
+    }
+    if (step.queue->advice && jobs_.find(step.ref)->waiting > 0)
+        ask(step, clock);
+}
+
+std::vector<target_state*> owner::targets_for(const runnable_step& step,
+                                              const owner_clock& clock) {
+    std::vector<target_state*> out;
+    const step_advice* advice =
+        step.queue->advice ? &advice_.of(step.ref) : nullptr;
+    if (advice != nullptr && advice->good.empty())
+        return out;
+    for (target_state* target : usable_)
+        if (slots(step, *target) > 0 && eligible(step, *target) &&
+            (advice == nullptr ||
+             advice->valid(target->entry.id, clock.now) != nullptr))
+            out.push_back(target);
+    return out;
+}
+
+void owner::place_gang(const runnable_step& step,
+                       const std::vector<target_state*>& usable,
+                       const owner_clock& clock) {
+    step_entry& entry = *jobs_.find(step.ref);
+    const std::int32_t count = step.spec->count;
+    // All members start together, so no run of any may be left.
+    if (entry.waiting < count ||
+        !(step.spec->each * count).fits_in(quota_left(step)))
+        return;
+    for (const auto& [id, target] : targets_.all()) {
+        const auto at = target.runs.lower_bound(task_id{step.ref, 0});
+        if (at != target.runs.end() && at->first.step == step.ref)
+            return;
+    }
+    std::vector<target_state*> chosen;
+    const auto collect = [&](const std::string* rack) {
+        chosen.clear();
+        for (target_state* target : usable) {
+            if (rack != nullptr && target->entry.rack != *rack)
+                continue;
+            for (std::int32_t n = slots(step, *target);
+                 n > 0 && chosen.size() < static_cast<size_t>(count); --n)
+                chosen.push_back(target);
+        }
+        return chosen.size() == static_cast<size_t>(count);
+    };
+    bool fits = false;
+    if (step.spec->one_rack) {
+        std::set<std::string> racks;
+        for (const target_state* target : usable)
+            racks.insert(target->entry.rack);
+        for (const std::string& rack : racks)
+            if ((fits = collect(&rack)))
+                break;
+    }
+    if (!fits && !collect(nullptr))
+        return;
+    std::int32_t run = 0;
+    for (const task_entry& task : entry.tasks)
+        run = std::max(run, task.run);
+    for (std::int32_t i = 0; i < count; ++i)
+        place_on(step, i, run + 1, *chosen[static_cast<size_t>(i)], clock);
+}
+
+void owner::place_on(const runnable_step& step, std::int32_t index,
+                     std::int32_t run, target_state& target,
+                     const owner_clock& clock) {
+    const task_id task{step.ref, index};
+    std::string ticket;
+    if (step.queue->advice)
+        ticket = advice_.of(step.ref).valid(target.entry.id, clock.now)->text;
+    jobs_.place(task, run, target.entry);
+    targets_.add_run(
+        target, task,
+        {.run = run,
+         .phase = run_phase::recording,
+         .each = step.spec->each,
+         .filling = step.spec->filling,
+         .lasting = step.spec->lasting,
+         .organisation = jobs_.find(step.ref.job)->record.organisation,
+         .ticket = std::move(ticket),
+         .since = clock.now,
+         .tail_target = step.spec->tail_target});
+    chosen_.emplace_back(target.entry.id, task);
+}
+
+void owner::ask(const runnable_step& step, const owner_clock& clock) {
+    step_advice& advice = advice_.of(step.ref);
+    if (advice.asking || clock.now < advice.retry_at)
+        return;
+    const bool slow = step.queue->advice->decide_ms >=
+                      static_cast<double>(advice_book::SLOW_CALL.count());
+    const double margin = slow ? ASK_MARGIN_SLOW : ASK_MARGIN_QUICK;
+    std::vector<std::pair<std::int32_t, const target_state*>> candidates;
+    for (const target_state* target : usable_) {
+        const std::int32_t fit = slots(step, *target);
+        const target_id& id = target->entry.id;
+        if (fit > 0 && eligible(step, *target) && !advice.bad.contains(id) &&
+            advice.valid(id, clock.now) == nullptr)
+            candidates.emplace_back(fit, target);
+    }
+    if (candidates.empty())
+        return;
+    // Known good ones first: only their tickets have to be renewed.
+    std::sort(candidates.begin(), candidates.end(),
+              [&](const auto& a, const auto& b) {
+                  const bool a_good = advice.good.contains(a.second->entry.id);
+                  const bool b_good = advice.good.contains(b.second->entry.id);
+                  if (a_good != b_good)
+                      return a_good;
+                  if (a.first != b.first)
+                      return a.first > b.first;
+                  return a.second->entry.id < b.second->entry.id;
+              });
+    const double wanted =
+        margin * static_cast<double>(jobs_.find(step.ref)->waiting);
+    double counted = 0;
+    std::vector<std::string> names;
+    for (const auto& [fit, target] : candidates) {
+        if (names.size() >= MOST_ASKED ||
+            (counted >= wanted && names.size() >= FEWEST_ASKED))
+            break;
+        counted += fit;
+        names.push_back(target->entry.id.value);
+    }
+    const millis length = advice_length(*step.queue->advice, names.size());
+    const auto host = advice_.take_lane(length, clock.now);
+    if (!host)
+        return;
+    advice.asking = true;
+    advice.asked.clear();
+    for (const std::string& name : names)
+        advice.asked.push_back({name});
+    output_.ask_advice(*host, step.ref, names, length + ADVICE_SLACK);
+}
+
+void owner::advised_on(const host_id& host, const step_ref& step, bool slow,
+                       const advice_answer& answer, const owner_clock& clock) {
+    advice_.free_lane(host, slow, !answer.ok, clock.now);
+    advice_.answered(step, answer, clock.now);
+    schedule_due_ = true;
+}
+
+} // namespace rattan::dispatch
--- a/src/dispatch/target_book.cpp
+++ b/src/dispatch/target_book.cpp
@@ -6,18 +6,13 @@
 
 namespace rattan::dispatch {
 
-namespace {
-
-/** What a run takes of its target's room: fillers take no processors. */
-resources taken(const run_entry& run) {
-    resources out = run.each;
-    if (run.filling)
+resources room_taken(const resources& each, bool filling) {
+    resources out = each;
+    if (filling)
         out.milli_cores = 0;
     return out;
 }
 
-} // namespace
-
 target_state& target_book::enlist(const target_entry& entry) {
     target_state& target = targets_[entry.id];
     target.entry = entry;
@@ -40,7 +35,7 @@
 run_entry& target_book::add_run(target_state& target, const task_id& task,
                                 run_entry run) {
     assert(!target.runs.contains(task));
-    target.used += taken(run);
+    target.used += room_taken(run.each, run.filling);
     if (run.filling)
         target.filling_cores += run.each.milli_cores;
     usage_[run.organisation] += run.each;
@@ -52,7 +47,7 @@
     if (found == target.runs.end())
         return;
     const run_entry& run = found->second;
-    target.used -= taken(run);
+    target.used -= room_taken(run.each, run.filling);
     if (run.filling)
         target.filling_cores -= run.each.milli_cores;
     usage_[run.organisation] -= run.each;
--- a/src/dispatch/target_book.hpp
+++ b/src/dispatch/target_book.hpp
@@ -73,6 +73,9 @@
 /** Most that a target's clock may be slow. Source: the runners' protocol. */
 constexpr double SLOWEST_CLOCK = 0.98;
 
+/** What a task takes of a target's room: fillers take no processors. */
+resources room_taken(const resources& each, bool filling);
+
 /** All targets; changes go through its commands. */
 class target_book {
 public:
--- a/src/front/front_service.cpp
+++ b/src/front/front_service.cpp
@@ -15,15 +15,11 @@
 
 namespace {
 
-constexpr int METRICS_PORT = 9464;      ///< As in the deploy file.
-constexpr int RETRY_AFTER_S = 1;        ///< The store or an owner is away.
-constexpr millis ASK_TIME{700};         ///< A question to the owner.
-constexpr millis HEDGE_DELAY{350};      ///< Then another host is asked besides.
-constexpr millis PROBE_PERIOD{500};     ///< Of a store that fails here.
-constexpr std::size_t MOST_HELPERS = 2; ///< Hosts tried for one record.
-constexpr millis STORE_SILENT{1500};    ///< Then this host counts as cut off.
-constexpr millis OWNER_SILENT{600};     ///< Then states come from the store.
-constexpr millis OWNER_HEARD{300};      ///< Then they come from it again.
+constexpr int METRICS_PORT = 9464;   ///< As in the deploy file.
+constexpr millis ASK_TIME{700};      ///< A question to the owner.
+constexpr millis STORE_SILENT{1500}; ///< Then this host counts as cut off.
+constexpr millis OWNER_SILENT{600};  ///< Then states come from the store.
+constexpr millis OWNER_HEARD{300};   ///< Then they come from it again.
 constexpr millis WATCH_PERIOD{200};
 constexpr millis LEAVE_POLL{100};
 constexpr millis LEAVE_SHORTEST{2500}; ///< The balancer needs two seconds.
@@ -31,13 +27,6 @@
 constexpr std::size_t KEPT_DESCRIPTORS = 300; ///< Not for callers.
 constexpr unsigned CALLER_IDLE_S = 30;
 
-http_reply refusal(int status) {
-    http_reply reply{.status = status, .body = "{}"};
-    if (status == 503 || status == 429)
-        reply.retry_after_s = RETRY_AFTER_S;
-    return reply;
-}
-
 } // namespace
 
 front_service::front_service(event_loop& loop,
@@ -295,69 +284,6 @@
         [this, caller](write_result result) { reply_write(caller, result); });
 }
 
-void front_service::write(const std::shared_ptr<call>& caller,
-                          const std::string& key, const std::string& value) {
-    caller->key = key;
-    caller->value = value;
-    caller->helpers = members_.helpers();
-    caller->helpers.resize(std::min(caller->helpers.size(), MOST_HELPERS));
-    // A store that fails here is tried now and then; other hosts may reach it.
-    const mono_time now = event_loop::now();
-    if (!writer_.failing() || caller->helpers.empty() ||
-        now - tried_ >= PROBE_PERIOD) {
-        tried_ = now;
-        ++caller->writing;
-        writer_.write(key, value, [this, caller](write_result result) {
-            write_ended(caller, result);
-        });
-    }
-    if (writer_.failing())
-        return write_elsewhere(caller);
-    loop_.after(HEDGE_DELAY, [this, caller] {
-        if (!caller->answered)
-            write_elsewhere(caller);
-    });
-}
-
-void front_service::write_elsewhere(const std::shared_ptr<call>& caller) {
-    if (caller->helpers.empty())
-        return;
-    const std::string address = caller->helpers.front();
-    caller->helpers.erase(caller->helpers.begin());
-    ++caller->writing;
-    ++metrics_.counter("rattan_writes_through_peers_total");
-    wire::store_request request;
-    request.key = caller->key;
-    request.value = caller->value;
-    // Written twice, a record is still one job: its key is the job's id.
-    members_.peer(address).call(
-        wire::method::STORE, wire_encode(request), record_writer::MOST_TIME,
-        [this, caller](const rpc_answer& answer) {
-            write_ended(caller,
-                        answer.ok() ? write_result::stored
-                        : answer.result == rpc_result::not_sent ||
-                                (answer.result == rpc_result::answered &&
-                                 answer.code == wire::status::UNAVAILABLE)
-                            ? write_result::not_stored
-                            : write_result::unknown);
-        });
-}
-
-void front_service::write_ended(const std::shared_ptr<call>& caller,
-                                write_result result) {
-    --caller->writing;
-    if (caller->answered)
-        return;
-    if (result == write_result::stored)
-        return reply_write(caller, result);
-    caller->unclear = caller->unclear || result == write_result::unknown;
-    if (!caller->helpers.empty() && caller->writing == 0)
-        return write_elsewhere(caller);
-    if (caller->writing == 0)
-        reply_write(caller, caller->unclear ? write_result::unknown
-                                            : write_result::not_stored);
-}
-
 void front_service::watch_owner() {
     const bool needed = !owner_ && members_.owner_age() > OWNER_SILENT;
     if (needed && !states_)
@@ -366,26 +292,6 @@
         states_.reset();
 }
 
-void front_service::reply_write(const std::shared_ptr<call>& caller,
-                                write_result result) {
-    caller->answered = true;
-    static constexpr int STATUS[] = {200, 503, 504};
-    const int status = STATUS[static_cast<int>(result)];
-    const std::int64_t took = (event_loop::now() - caller->arrived).count();
-    metrics_.histogram("rattan_accept_micros").record(took * 1000);
-    log_event(log_level::info, "caller_answered",
-              {{"job", caller->job.value},
-               {"method", caller->request.method},
-               {"queue", caller->queue.name.value},
-               {"status", std::to_string(status)},
-               {"ms", std::to_string(took)},
-               {"config", std::to_string(config_.version)}});
-    http_reply reply = refusal(status);
-    // A caller of a host that is cut off does better at another one.
-    reply.close = result != write_result::stored && !connected();
-    caller->answer(reply);
-}
-
 void front_service::show(const std::shared_ptr<call>& caller) {
     if (owner_ && owner_->serving())
         return reply_state(caller, owner_->decisions().state_of(
--- a/src/front/front_service.hpp
+++ b/src/front/front_service.hpp
@@ -19,6 +19,9 @@
 
 namespace rattan::front {
 
+/** An answer without a body; 503 and 429 say when to come back. */
+http_reply refusal(int status);
+
 /** Serves callers, answers other hosts, and owns the cell when it has to. */
 class front_service {
 public:
--- a/tests/dispatch_world.cpp
+++ b/tests/dispatch_world.cpp
@@ -118,28 +118,27 @@
 }
 
 void world::submit_from(const request_kind& kind,
-                        const std::string& organisation, millis from,
-                        millis to, double factor) {
+                        const std::string& organisation, millis from, millis to,
+                        double factor) {
     std::exponential_distribution<double> gap(kind.per_second * factor /
                                               1000.0);
     std::int64_t when = from.count();
     while ((when += 1 + static_cast<std::int64_t>(gap(random_))) < to.count())
         at(millis(when), [this, kind, organisation] {
             const auto draw = [this](double mean, double spread, double most) {
-                std::lognormal_distribution<double> by(
-                    -spread * spread / 2, spread);
+                std::lognormal_distribution<double> by(-spread * spread / 2,
+                                                       spread);
                 return std::clamp(mean * by(random_), 1.0, most);
             };
             job_spec spec{.payload = "p"};
-            const int steps = static_cast<int>(
-                std::lround(draw(kind.steps, 0.4, 4)));
+            const int steps =
+                static_cast<int>(std::lround(draw(kind.steps, 0.4, 4)));
             for (int s = 0; s < steps; ++s) {
                 step_spec step{
                     .count = static_cast<std::int32_t>(
                         std::lround(draw(kind.width, 0.8, 6 * kind.width))),
-                    .each = {static_cast<std::int64_t>(
-                                 draw(kind.milli_cores, 0.45,
-                                      3 * kind.milli_cores)),
+                    .each = {static_cast<std::int64_t>(draw(
+                                 kind.milli_cores, 0.45, 3 * kind.milli_cores)),
                              100, 0},
                     .estimate = millis(static_cast<std::int64_t>(
                         draw(kind.task_ms, 0.5, 2.5 * kind.task_ms)))};
@@ -155,12 +154,12 @@
                      job_spec spec) {
     const job_id id{"job" + std::to_string(100000 + next_job_++)};
     const request_kind& kind = kinds_.at(queue);
-    jobs_[id] = {queue, organisation, now_,
-                 static_cast<std::int64_t>(
-                     kind.stretch *
-                     static_cast<double>(longest_chain(spec).count())) +
-                     kind.objective.count(),
-                 0};
+    jobs_[id] = {
+        queue, organisation, now_,
+        static_cast<std::int64_t>(
+            kind.stretch * static_cast<double>(longest_chain(spec).count())) +
+            kind.objective.count(),
+        0};
     job_record record{.id = id,
                       .queue = {queue},
                       .organisation = {organisation},
@@ -234,8 +233,7 @@
                 spec.each};
             answer.done = true;
             if (!spec.lasting || target.failing)
-                after(takes, [this, index, task = order.task,
-                              run = order.run] {
+                after(takes, [this, index, task = order.task, run = order.run] {
                     fake_target& there = targets_[static_cast<size_t>(index)];
                     const auto found = there.runs.find(task);
                     if (found != there.runs.end() && found->second.run == run)
@@ -247,8 +245,7 @@
         if (lost)
             answer = {.sent = true};
         deliver([this, address, order, answer] {
-            owner_->started(address.id, order.task, order.run, answer,
-                            clock());
+            owner_->started(address.id, order.task, order.run, answer, clock());
         });
     });
 }
@@ -257,10 +254,8 @@
     const std::int32_t run = target.runs.at(task).run;
     target.runs.erase(task);
     target.closed[task] = std::max(target.closed[task], run);
-    target.ended.push_back({.number = ++target.last_end,
-                            .task = task,
-                            .run = run,
-                            .end = how});
+    target.ended.push_back(
+        {.number = ++target.last_end, .task = task, .run = run, .end = how});
     if (target.waiting_look)
         std::exchange(target.waiting_look, nullptr)();
 }
@@ -459,10 +454,11 @@
     targets_[static_cast<size_t>(target)].slow = factor;
 }
 
-kind_result world::result(const std::string& queue) const {
+kind_result
+world::count(const std::function<bool(const submitted&)>& counts) const {
     kind_result out;
     for (const auto& [id, job] : jobs_) {
-        if (job.queue != queue)
+        if (!counts(job))
             continue;
         ++out.jobs;
         out.ended += job.ended_at > 0 ? 1 : 0;
@@ -472,26 +468,21 @@
     return out;
 }
 
+kind_result world::result(const std::string& queue) const {
+    return count([&](const submitted& job) { return job.queue == queue; });
+}
+
 kind_result world::result_of(const std::string& organisation) const {
-    kind_result out;
-    for (const auto& [id, job] : jobs_) {
-        if (job.organisation != organisation)
-            continue;
-        ++out.jobs;
-        out.ended += job.ended_at > 0 ? 1 : 0;
-        out.in_time +=
-            job.ended_at > 0 && job.ended_at - job.at <= job.objective ? 1 : 0;
-    }
-    return out;
+    return count(
+        [&](const submitted& job) { return job.organisation == organisation; });
 }
 
 std::size_t world::running(const job_id& job) const {
     std::size_t count = 0;
     for (const fake_target& target : targets_)
         count += static_cast<std::size_t>(std::count_if(
-            target.runs.begin(), target.runs.end(), [&](const auto& item) {
-                return item.first.step.job == job;
-            }));
+            target.runs.begin(), target.runs.end(),
+            [&](const auto& item) { return item.first.step.job == job; }));
     return count;
 }
 
--- a/tests/dispatch_world.hpp
+++ b/tests/dispatch_world.hpp
@@ -139,6 +139,8 @@
         std::int64_t ended_at = 0;
     };
 
+    [[nodiscard]] kind_result
+    count(const std::function<bool(const submitted&)>& counts) const;
     void after(millis delay, std::function<void()> call);
     void deliver(std::function<void()> call);
     void tick_soon();
