--- a/tests/dispatch_world.cpp
+++ b/tests/dispatch_world.cpp
@@ -250,7 +250,7 @@
     });
 }
 
-void world::end_run(fake_target& target, const task_id& task, run_end how) {
+void world::end_run(fake_target& target, task_id task, run_end how) {
     const std::int32_t run = target.runs.at(task).run;
     target.runs.erase(task);
     target.closed[task] = std::max(target.closed[task], run);
--- a/tests/dispatch_world.hpp
+++ b/tests/dispatch_world.hpp
@@ -144,7 +144,7 @@
     void after(millis delay, std::function<void()> call);
     void deliver(std::function<void()> call);
     void tick_soon();
-    void end_run(fake_target& target, const task_id& task, run_end how);
+    void end_run(fake_target& target, task_id task, run_end how);
     void send_look_answer(int target, std::int64_t last_seen,
                           mono_time sent_at);
     void expire_leases(fake_target& target);
