Write through other hosts again; ask before claiming after a cut

Besides, a data centre that returned from a cut claimed the cell at once, on silence that was its own. Ruled out: slow peers (12 ms). Adaptive bound for an owner that misses the store. Tests: claim_func_test; a_host_without_the_store_writes_through_others, which failed on the old wiring (the stand-in store has a side address for one host).

--- /dev/null
+++ b/src/dispatch/claim_func.cpp
@@ -0,0 +1,81 @@
+#include "dispatch/claim_func.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace rattan::dispatch {
+
+namespace {
+
+constexpr millis SILENCE{800}; ///< Of the owner, before others claim.
+/** A new owner has much to do at first: a claim then would repeat it. */
+constexpr millis SETTLING{6000};
+constexpr millis SETTLING_SILENCE{2000};
+constexpr std::int64_t MOST_RANKS = 12; ///< Later ones claim together.
+/** No owner ever: the other hosts have to announce themselves first. */
+constexpr millis FIRST_CLAIM{700};
+constexpr millis REFUSAL{250};      ///< Silence when connections are refused.
+constexpr int REFUSALS = 2;         ///< In a row.
+constexpr millis RANK_STEP{120};    ///< Between claims of different hosts.
+constexpr millis STORE_FRESH{1000}; ///< A host without the store can't own.
+/** This host reaches a store that the owner does not: reads wait 0.4 s. */
+constexpr millis STORE_REACHED{600};
+/** Without an answer for so long, a store that others reach is missed. */
+constexpr millis STORE_MISSED{700};
+constexpr int GAPS_MISSED = 2; ///< The same in gaps that are usual now.
+constexpr millis PEER_FRESH{700};
+
+/** How long an owner may be silent. */
+millis patience(const claim_view& view) {
+    const millis stagger = RANK_STEP * std::min(view.rank, MOST_RANKS);
+    if (view.owner_epoch == 0)
+        return FIRST_CLAIM + stagger;
+    if (view.owner_resigned)
+        return stagger;
+    if (view.own_earlier_life)
+        return millis(0);
+    if (view.refused >= REFUSALS)
+        return stagger + REFUSAL;
+    // Its silence has been waited for already, at the store.
+    if (view.owner_cut_off && view.store_age < STORE_REACHED)
+        return stagger;
+    return stagger +
+           (view.since_change < SETTLING ? SETTLING_SILENCE : SILENCE);
+}
+
+} // namespace
+
+bool claim_due(const claim_view& view) {
+    if (view.store_age > STORE_FRESH)
+        return false;
+    const millis wait = patience(view);
+    // Whoever was cut off itself has heard nobody: the silence of the time
+    // before says nothing about the owner.
+    const bool can_be_heard =
+        view.owner_epoch > 0 && !view.owner_resigned && !view.own_earlier_life;
+    if (can_be_heard && view.store_steady < SILENCE)
+        return false;
+    return view.owner_silent >= wait;
+}
+
+bool misses_store(millis owner_age, millis own_gap) {
+    return owner_age >= std::max(STORE_MISSED, own_gap * GAPS_MISSED);
+}
+
+std::vector<std::string> usable_helpers(std::vector<peer_view> peers) {
+    std::erase_if(peers, [](const peer_view& peer) {
+        return peer.heard > PEER_FRESH || peer.store_age > PEER_FRESH;
+    });
+    // Hosts of other data centres are less likely to share a failure.
+    std::sort(peers.begin(), peers.end(),
+              [](const peer_view& a, const peer_view& b) {
+                  return std::tuple(!a.owner, a.near, a.address) <
+                         std::tuple(!b.owner, b.near, b.address);
+              });
+    std::vector<std::string> out;
+    for (peer_view& peer : peers)
+        out.push_back(std::move(peer.address));
+    return out;
+}
+
+} // namespace rattan::dispatch
--- /dev/null
+++ b/src/dispatch/claim_func.hpp
@@ -0,0 +1,48 @@
+/** @file When a host claims the cell, and which hosts can help it. */
+#pragma once
+
+#include "rattan/unit_type.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace rattan::dispatch {
+
+/** What a host knows when it considers a claim. */
+struct claim_view {
+    std::int64_t owner_epoch = 0;  ///< 0: nobody has ever claimed.
+    bool owner_resigned = false;   ///< It has given the cell back.
+    bool own_earlier_life = false; ///< The owner was a process of this host.
+    bool owner_cut_off = false;    ///< It says that it misses the store.
+    millis owner_silent{0};        ///< Since it last answered well.
+    millis since_change{0};        ///< Since the owner last changed.
+    int refused = 0;               ///< Connections to it, in a row.
+    millis store_age{0};           ///< Since the store last answered us.
+    millis store_steady{0};        ///< Since it began to answer us again.
+    std::int64_t rank = 0;         ///< Hosts that claim before this one.
+};
+
+/** Tells whether a host claims the cell now. */
+bool claim_due(const claim_view& view);
+
+/**
+ * Tells whether an owner misses a store that this host reaches.
+ * @param owner_age Since the store last answered the owner.
+ * @param own_gap Longest time between answers that this host has seen lately.
+ */
+bool misses_store(millis owner_age, millis own_gap);
+
+/** Another host, as last heard. */
+struct peer_view {
+    std::string address;
+    bool owner = false;
+    bool near = false;   ///< In this host's data centre.
+    millis heard{0};     ///< Since it last answered.
+    millis store_age{0}; ///< As it said then.
+};
+
+/** Hosts that can store a record for this one: the owner first, far first. */
+std::vector<std::string> usable_helpers(std::vector<peer_view> peers);
+
+} // namespace rattan::dispatch
--- a/src/front/front_service.cpp
+++ b/src/front/front_service.cpp
@@ -17,7 +17,7 @@
 
 constexpr int METRICS_PORT = 9464;   ///< As in the deploy file.
 constexpr millis ASK_TIME{700};      ///< A question to the owner.
-constexpr millis STORE_SILENT{1500}; ///< Then this host counts as cut off.
+constexpr millis STORE_SILENT{1000}; ///< Then this host counts as cut off.
 constexpr millis OWNER_SILENT{600};  ///< Then states come from the store.
 constexpr millis OWNER_HEARD{300};   ///< Then they come from it again.
 constexpr millis WATCH_PERIOD{200};
@@ -115,9 +115,8 @@
 }
 
 bool front_service::connected() const {
-    // Without the store, writes go through the owner's host.
-    return members_.store_age() < STORE_SILENT ||
-           (!members_.owns() && members_.owner_age() < OWNER_SILENT);
+    // Without the store, writes go through other hosts.
+    return members_.store_age() < STORE_SILENT || !members_.helpers().empty();
 }
 
 void front_service::take_operator_record(const keyed_record& record) {
@@ -273,15 +272,11 @@
                   {{"job", caller->job.value}, {"cause", failure.what()}});
         return caller->answer(refusal(400));
     }
-    writer_.write(
-        job_key(caller->job), encode_job(record),
-        [this, caller](write_result result) { reply_write(caller, result); });
+    write(caller, job_key(caller->job), encode_job(record));
 }
 
 void front_service::cancel(const std::shared_ptr<call>& caller) {
-    writer_.write(
-        cancel_key(caller->job), "1",
-        [this, caller](write_result result) { reply_write(caller, result); });
+    write(caller, cancel_key(caller->job), "1");
 }
 
 void front_service::watch_owner() {
--- a/src/front/front_service.hpp
+++ b/src/front/front_service.hpp
@@ -42,11 +42,11 @@
         dispatch::organisation_id organisation;
         job_id job;
         mono_time arrived{};
-        std::string key;                  ///< Of the record to be written.
-        std::string value;                ///< Of that record.
-        std::vector<std::string> helpers; ///< Hosts not yet tried.
-        int writing = 0;                  ///< Tries under way.
-        bool unclear = false;             ///< A try may have had its effect.
+        std::string key;                ///< Of the record to be written.
+        std::string value;              ///< Of that record.
+        std::vector<std::string> tried; ///< Hosts that were asked to write.
+        int writing = 0;                ///< Tries under way.
+        bool unclear = false;           ///< A try may have had its effect.
         bool answered = false;
     };
 
@@ -60,7 +60,10 @@
     /** Writes a caller's record here or, in need, through another host. */
     void write(const std::shared_ptr<call>& call, const std::string& key,
                const std::string& value);
-    void write_elsewhere(const std::shared_ptr<call>& call);
+    /** Asks the next host that can. @return False when there is none. */
+    bool write_elsewhere(const std::shared_ptr<call>& call);
+    /** Asks other hosts besides, while no answer comes. */
+    void hedge(const std::shared_ptr<call>& call);
     void write_ended(const std::shared_ptr<call>& call, write_result result);
     void reply_write(const std::shared_ptr<call>& call, write_result result);
     /** Starts and ends reading states from the store as needed. */
@@ -90,7 +93,6 @@
     std::set<data_centre_id> evacuated_;
     std::unique_ptr<owner_service> owner_;
     std::unique_ptr<state_reader> states_; ///< While the owner is silent.
-    mono_time tried_{};                    ///< Last write to a failing store.
     std::unique_ptr<rpc_server> rpc_;
     std::unique_ptr<http_server> callers_;
     std::unique_ptr<http_server> readiness_;
--- a/src/front/front_write.cpp
+++ b/src/front/front_write.cpp
@@ -9,9 +9,10 @@
 
 namespace {
 
-constexpr int RETRY_AFTER_S = 1;        ///< The store or an owner is away.
-constexpr millis HEDGE_DELAY{350};      ///< Then another host is asked besides.
-constexpr millis PROBE_PERIOD{500};     ///< Of a store that fails here.
+constexpr int RETRY_AFTER_S = 1;   ///< The store or an owner is away.
+constexpr millis HEDGE_DELAY{150}; ///< Then another host is asked besides.
+/** Reads wait 0.4 s: a store without an answer for so long is not tried. */
+constexpr millis STORE_SILENT{600};
 constexpr std::size_t MOST_HELPERS = 2; ///< Hosts tried for one record.
 
 } // namespace
@@ -27,38 +28,47 @@
                           const std::string& key, const std::string& value) {
     caller->key = key;
     caller->value = value;
-    caller->helpers = members_.helpers();
-    caller->helpers.resize(std::min(caller->helpers.size(), MOST_HELPERS));
-    // A store that fails here is tried now and then; other hosts may reach it.
-    const mono_time now = event_loop::now();
-    if (!writer_.failing() || caller->helpers.empty() ||
-        now - tried_ >= PROBE_PERIOD) {
-        tried_ = now;
+    // A store that turns this host away is not tried: another may reach it.
+    if (!writer_.failing() || members_.store_age() < STORE_SILENT) {
         ++caller->writing;
         writer_.write(key, value, [this, caller](write_result result) {
             write_ended(caller, result);
         });
+        return hedge(caller);
     }
-    if (writer_.failing())
-        return write_elsewhere(caller);
+    if (!write_elsewhere(caller))
+        reply_write(caller, write_result::not_stored);
+}
+
+void front_service::hedge(const std::shared_ptr<call>& caller) {
     loop_.after(HEDGE_DELAY, [this, caller] {
-        if (!caller->answered)
-            write_elsewhere(caller);
+        if (caller->answered)
+            return;
+        // Which hosts can help shows only a while after the store fell silent.
+        if (!write_elsewhere(caller) && caller->tried.size() < MOST_HELPERS)
+            hedge(caller);
     });
 }
 
-void front_service::write_elsewhere(const std::shared_ptr<call>& caller) {
-    if (caller->helpers.empty())
-        return;
-    const std::string address = caller->helpers.front();
-    caller->helpers.erase(caller->helpers.begin());
+bool front_service::write_elsewhere(const std::shared_ptr<call>& caller) {
+    if (caller->tried.size() >= MOST_HELPERS)
+        return false;
+    const auto helpers = members_.helpers();
+    const auto next =
+        std::find_if(helpers.begin(), helpers.end(), [&](const auto& address) {
+            return std::find(caller->tried.begin(), caller->tried.end(),
+                             address) == caller->tried.end();
+        });
+    if (next == helpers.end())
+        return false;
+    caller->tried.push_back(*next);
     ++caller->writing;
     ++metrics_.counter("rattan_writes_through_peers_total");
     wire::store_request request;
     request.key = caller->key;
     request.value = caller->value;
     // Written twice, a record is still one job: its key is the job's id.
-    members_.peer(address).call(
+    members_.peer(*next).call(
         wire::method::STORE, wire_encode(request), record_writer::MOST_TIME,
         [this, caller](const rpc_answer& answer) {
             write_ended(caller,
@@ -69,6 +79,7 @@
                             ? write_result::not_stored
                             : write_result::unknown);
         });
+    return true;
 }
 
 void front_service::write_ended(const std::shared_ptr<call>& caller,
@@ -79,11 +90,10 @@
     if (result == write_result::stored)
         return reply_write(caller, result);
     caller->unclear = caller->unclear || result == write_result::unknown;
-    if (!caller->helpers.empty() && caller->writing == 0)
-        return write_elsewhere(caller);
-    if (caller->writing == 0)
-        reply_write(caller, caller->unclear ? write_result::unknown
-                                            : write_result::not_stored);
+    if (caller->writing > 0 || write_elsewhere(caller))
+        return;
+    reply_write(caller, caller->unclear ? write_result::unknown
+                                        : write_result::not_stored);
 }
 
 void front_service::reply_write(const std::shared_ptr<call>& caller,
--- a/src/front/member_service.cpp
+++ b/src/front/member_service.cpp
@@ -17,21 +17,15 @@
 const std::string OWNER_KEY = "owner";
 const std::string HOST_PREFIX = "host/";
 constexpr millis BEAT_PERIOD{250};
-constexpr millis BEAT_TIME{600}; ///< An answer is given up after this.
-constexpr millis SILENCE{800};   ///< Of the owner, before others claim.
-/** A new owner has much to do at first: a claim then would repeat it. */
-constexpr millis SETTLING{6000};
-constexpr millis SETTLING_SILENCE{2000};
-constexpr millis CLAIM_WAIT{400};       ///< A read for claims waits so long.
-constexpr std::int64_t MOST_RANKS = 12; ///< Later ones claim together.
-/** No owner ever: the other hosts have to announce themselves first. */
-constexpr millis FIRST_CLAIM{700};
-constexpr millis REFUSAL{250};      ///< The same when connections are refused.
-constexpr int REFUSALS = 2;         ///< In a row.
-constexpr millis RANK_STEP{120};    ///< Between claims of different hosts.
-constexpr millis STORE_FRESH{1000}; ///< A host without the store can't own.
-/** This host reaches a store that the owner does not: reads wait 0.4 s. */
-constexpr millis STORE_REACHED{600};
+constexpr millis BEAT_TIME{600};  ///< An answer is given up after this.
+constexpr millis CLAIM_WAIT{400}; ///< A read for claims waits so long.
+/** Reads answer sooner than this unless the store is late. */
+constexpr millis STORE_LATE{500};
+constexpr millis STORE_LOST{1000}; ///< Then its return is waited for.
+constexpr millis PROBE_TIME{400};  ///< Of a read that only asks for an answer.
+constexpr millis GAP_KEPT{3000}; ///< A long wait for the store counts so long.
+constexpr std::size_t MOST_PINGED =
+    6; ///< Other hosts, while the store is late.
 constexpr millis CALL_TIME{800};
 constexpr millis RETRY_TIME{200};
 
@@ -48,21 +42,88 @@
           [this](const keyed_record& record) { take_record(record); },
           [](const std::set<std::string>&) {}) {
     members_.on_answered([this](mono_time sent_at) {
+        store_answered();
         if (owns_)
             call_.confirmed(sent_at);
+        // A loaded topic may show that this host has to claim at once.
+        consider_claim();
     });
 }
 
 void member_service::start() {
-    heard_ = event_loop::now();
+    started_ = event_loop::now();
+    heard_ = started_;
     announce();
     members_.start();
     loop_.every(BEAT_PERIOD, [this] {
         beat();
+        if (store_age() > STORE_LATE) {
+            probe_store();
+            ping_peers();
+        }
         consider_claim();
     });
 }
 
+void member_service::store_answered() {
+    const mono_time now = event_loop::now();
+    const millis gap = now - std::max(store_heard_, started_);
+    if (gap >= worst_gap_ || now - worst_gap_at_ > GAP_KEPT) {
+        worst_gap_ = gap;
+        worst_gap_at_ = now;
+    }
+    if (now - store_heard_ > STORE_LOST) {
+        store_back_ = now;
+        refused_ = 0;
+    }
+    store_heard_ = now;
+}
+
+void member_service::probe_store() {
+    if (std::exchange(probing_, true))
+        return;
+    store_.read({.topic = MEMBERS_TOPIC,
+                 .from = members_.next(),
+                 .timeout = PROBE_TIME},
+                [this](const platform::read_answer& answer) {
+                    probing_ = false;
+                    if (answer.result == store_result::ok)
+                        store_answered();
+                });
+}
+
+void member_service::ping_peers() {
+    std::size_t pinged = 0;
+    for (const auto& [host, member] : known_) {
+        if (member.address == own_address_ || member.address == owner_.address)
+            continue;
+        if (++pinged > MOST_PINGED)
+            return;
+        peer_state& state = peer_states_[member.address];
+        if (std::exchange(state.asked, true))
+            continue;
+        rpc_client& client = peer(member.address);
+        client.retry_now();
+        wire::beat_request request;
+        request.host = settings_.host.value;
+        client.call(wire::method::BEAT, wire_encode(request), BEAT_TIME,
+                    [this, address = member.address](const rpc_answer& answer) {
+                        take_peer_beat(address, answer);
+                    });
+    }
+}
+
+void member_service::take_peer_beat(const std::string& address,
+                                    const rpc_answer& answer) {
+    peer_state& state = peer_states_[address];
+    state.asked = false;
+    if (!answer.ok())
+        return;
+    state.heard = event_loop::now();
+    state.store_age =
+        millis(wire_decode<wire::beat_reply>(answer.body).store_age_ms);
+}
+
 void member_service::announce() {
     const std::string value =
         dispatch::encode_member({.host = settings_.host,
@@ -123,7 +184,12 @@
 }
 
 millis member_service::store_age() const {
-    return event_loop::now() - std::max(members_.answered_at(), store_heard_);
+    return event_loop::now() - store_heard_;
+}
+
+millis member_service::worst_gap() const {
+    return event_loop::now() - worst_gap_at_ > GAP_KEPT ? millis(0)
+                                                        : worst_gap_;
 }
 
 millis member_service::owner_age() const {
@@ -131,17 +197,21 @@
 }
 
 std::vector<std::string> member_service::helpers() const {
-    std::vector<std::string> out;
-    if (!owner_.address.empty() && owner_.address != own_address_)
-        out.push_back(owner_.address);
-    // Hosts of other data centres are less likely to share a failure.
-    for (const bool near : {false, true})
-        for (const auto& [host, member] : known_)
-            if ((member.data_centre == settings_.data_centre) == near &&
-                member.address != own_address_ &&
-                member.address != owner_.address)
-                out.push_back(member.address);
-    return out;
+    std::vector<dispatch::peer_view> peers;
+    const mono_time now = event_loop::now();
+    for (const auto& [host, member] : known_) {
+        if (member.address == own_address_)
+            continue;
+        const auto state = peer_states_.find(member.address);
+        if (state == peer_states_.end())
+            continue;
+        peers.push_back({.address = member.address,
+                         .owner = member.address == owner_.address,
+                         .near = member.data_centre == settings_.data_centre,
+                         .heard = now - state->second.heard,
+                         .store_age = state->second.store_age});
+    }
+    return dispatch::usable_helpers(std::move(peers));
 }
 
 rpc_client& member_service::peer(const std::string& address) {
@@ -170,6 +240,7 @@
     beating_ = true;
     wire::beat_request request;
     request.host = settings_.host.value;
+    peer(owner_.address).retry_now();
     peer(owner_.address)
         .call(wire::method::BEAT, wire_encode(request), BEAT_TIME,
               [this](const rpc_answer& answer) { beat_answered(answer); });
@@ -186,43 +257,44 @@
     const auto reply = wire_decode<wire::beat_reply>(answer.body);
     if (reply.epoch < owner_.epoch || reply.owner_address != owner_.address)
         return;
+    take_peer_beat(owner_.address, answer);
     // An owner that the store turns away can't start anything.
-    cut_off_ = reply.store_age_ms >= STORE_FRESH.count();
+    cut_off_ = dispatch::misses_store(millis(reply.store_age_ms), worst_gap());
     if (!cut_off_)
         heard_ = event_loop::now();
 }
 
-millis member_service::patience() const {
+std::int64_t member_service::rank() const {
     // The strongest host owns; the others follow in order.
-    std::int64_t rank = 0;
+    std::int64_t before_us = 0;
     for (const auto& [host, member] : known_) {
         const bool before = member.milli_cores != settings_.milli_cores
                                 ? member.milli_cores > settings_.milli_cores
                                 : host < settings_.host;
         if (before && host != owner_.host)
-            ++rank;
+            ++before_us;
     }
-    const millis stagger = RANK_STEP * std::min(rank, MOST_RANKS);
-    if (owner_.epoch == 0)
-        return FIRST_CLAIM + stagger;
-    if (owner_.address.empty())
-        return stagger;
-    if (owner_.host == settings_.host && owner_.life != life_)
-        return millis(0); // An earlier process of this host.
-    if (refused_ >= REFUSALS)
-        return stagger + REFUSAL;
-    // Its silence has been waited for already, at the store.
-    if (cut_off_ && store_age() < STORE_REACHED)
-        return stagger;
-    const bool settling = event_loop::now() - changed_at_ < SETTLING;
-    return stagger + (settling ? SETTLING_SILENCE : SILENCE);
+    return before_us;
 }
 
 void member_service::consider_claim() {
-    if (owns_ || leaving_ || claiming_ || !members_.loaded() ||
-        store_age() > STORE_FRESH || owner_age() < patience())
+    if (owns_ || leaving_ || claiming_ || !members_.loaded())
         return;
-    claim();
+    const mono_time now = event_loop::now();
+    const dispatch::claim_view view{.owner_epoch = owner_.epoch,
+                                    .owner_resigned = owner_.address.empty(),
+                                    .own_earlier_life =
+                                        owner_.host == settings_.host &&
+                                        owner_.life != life_,
+                                    .owner_cut_off = cut_off_,
+                                    .owner_silent = owner_age(),
+                                    .since_change = now - changed_at_,
+                                    .refused = refused_,
+                                    .store_age = store_age(),
+                                    .store_steady = now - store_back_,
+                                    .rank = rank()};
+    if (dispatch::claim_due(view))
+        claim();
 }
 
 void member_service::claim() {
--- a/src/front/member_service.hpp
+++ b/src/front/member_service.hpp
@@ -1,6 +1,7 @@
 /** @file Which entry hosts there are, and which of them owns the cell. */
 #pragma once
 
+#include "dispatch/claim_func.hpp"
 #include "dispatch/record_codec.hpp"
 #include "front/topic_follower.hpp"
 #include "net/rpc_client.hpp"
@@ -43,10 +44,8 @@
     [[nodiscard]] bool ready() const { return members_.loaded(); }
     [[nodiscard]] bool owns() const { return owns_; }
     [[nodiscard]] const dispatch::owner_record& owner() const { return owner_; }
-    /** The store has answered another part of this process. */
-    void store_answered(mono_time sent_at) {
-        store_heard_ = std::max(store_heard_, sent_at);
-    }
+    /** The store has answered a call of this process. */
+    void store_answered();
     /** Time since the store last answered. */
     [[nodiscard]] millis store_age() const;
     /** Time since the owner was last heard. */
@@ -56,7 +55,7 @@
     members() const {
         return known_;
     }
-    /** Other hosts to hand work to: the owner first. */
+    /** Hosts that can store a record for this one: the owner first. */
     [[nodiscard]] std::vector<std::string> helpers() const;
     /** A client for calls to another entry host. */
     rpc_client& peer(const std::string& address);
@@ -70,9 +69,24 @@
     void announce();
     void beat();
     void beat_answered(const rpc_answer& answer);
+    /** Asks the store for any answer, when none came for long. */
+    void probe_store();
+    /** Asks other hosts whether they reach the store. */
+    void ping_peers();
+    void take_peer_beat(const std::string& address, const rpc_answer& answer);
     void consider_claim();
     void claim();
-    [[nodiscard]] millis patience() const;
+    /** Hosts that claim before this one. */
+    [[nodiscard]] std::int64_t rank() const;
+    /** Longest time lately between answers of the store. */
+    [[nodiscard]] millis worst_gap() const;
+
+    /** Another host, as last heard. */
+    struct peer_state {
+        mono_time heard{};
+        millis store_age{0}; ///< As it said then.
+        bool asked = false;  ///< A beat is under way.
+    };
 
     event_loop& loop_;
     platform::store_client& store_;
@@ -84,11 +98,17 @@
     std::map<host_id, dispatch::member_record> known_;
     std::map<std::string, std::unique_ptr<rpc_client>> peers_;
     dispatch::owner_record owner_;
-    mono_time heard_{};       ///< When the owner last answered well.
-    bool cut_off_ = false;    ///< The owner said that it misses the store.
-    mono_time store_heard_{}; ///< By other parts of this process.
-    mono_time changed_at_{};  ///< When the owner last changed.
-    int refused_ = 0;         ///< Connections to it in a row.
+    mono_time heard_{};    ///< When the owner last answered well.
+    bool cut_off_ = false; ///< The owner said that it misses the store.
+    mono_time started_{};
+    mono_time store_heard_{}; ///< When the store last answered.
+    mono_time store_back_{};  ///< When it answered again after a loss.
+    millis worst_gap_{0};     ///< Between two answers, lately.
+    mono_time worst_gap_at_{};
+    bool probing_ = false;
+    std::map<std::string, peer_state> peer_states_; ///< By address.
+    mono_time changed_at_{}; ///< When the owner last changed.
+    int refused_ = 0;        ///< Connections to it in a row.
     bool owns_ = false;
     bool claiming_ = false;
     bool leaving_ = false;
--- a/src/front/owner_service.cpp
+++ b/src/front/owner_service.cpp
@@ -390,7 +390,7 @@
                  sent_at = event_loop::now()](const append_answer& answer) {
             switch (answer.result) {
             case store_result::ok:
-                context_.members.store_answered(sent_at);
+                context_.members.store_answered();
                 owner_.confirmed(sent_at);
                 return done();
             case store_result::fenced:
--- a/src/net/rpc_client.hpp
+++ b/src/net/rpc_client.hpp
@@ -61,6 +61,9 @@
 
     [[nodiscard]] const std::string& address() const { return address_; }
 
+    /** Lets the next call connect at once, whatever failed before. */
+    void retry_now() { next_attempt_ = {}; }
+
     /** Answers that came when nobody waited for them any more. */
     [[nodiscard]] std::uint64_t late_answers() const { return late_; }
 
--- a/standins/fleet_main.cpp
+++ b/standins/fleet_main.cpp
@@ -21,6 +21,7 @@
 
 constexpr int ADMIN_PORT = 1;
 constexpr int ADVICE_PORT = 2;
+constexpr int SIDE_PORT = 3; ///< The store again, for one host.
 constexpr int FIRST_TARGET_PORT = 10;
 constexpr millis HEARTBEAT{1500};
 constexpr int MILLI = 1000;
@@ -60,7 +61,7 @@
     try {
         event_loop loop;
         fleet_audit audit;
-        fleet_store store(loop, address(0));
+        fleet_store store(loop, address(0), address(SIDE_PORT));
         std::vector<std::unique_ptr<fleet_target>> targets;
         for (int i = 0; i < FLAGS_targets; ++i)
             targets.push_back(std::make_unique<fleet_target>(
--- a/standins/fleet_store.cpp
+++ b/standins/fleet_store.cpp
@@ -61,11 +61,19 @@
 
 } // namespace
 
-fleet_store::fleet_store(event_loop& loop, const std::string& address)
+fleet_store::fleet_store(event_loop& loop, const std::string& address,
+                         const std::string& side_address)
     : loop_(loop),
       http_(loop, address, {.body_bytes = 4U << 20U, .connections = 2000},
             [this](const http_request& request, http_server::responder answer) {
                 handle(request, std::move(answer));
+            }),
+      side_(loop, side_address, {.body_bytes = 4U << 20U, .connections = 2000},
+            [this](const http_request& request, http_server::responder answer) {
+                if (side_silent_)
+                    lost_.push_back(std::move(answer));
+                else
+                    handle(request, std::move(answer));
             }) {
     loop.every(WAKE_PERIOD, [this] { wake(); });
 }
@@ -79,6 +87,7 @@
 http_reply fleet_store::administer(const http_request& request) {
     down_ = number(request, "down", down_ ? 1 : 0) != 0;
     lose_answers_ = number(request, "lose", lose_answers_ ? 1 : 0) != 0;
+    side_silent_ = number(request, "side_silent", side_silent_ ? 1 : 0) != 0;
     if (!request.query.contains("put"))
         return {.body = "{}"};
     put(text(request, "topic"), text(request, "put"), request.body);
--- a/standins/fleet_store.hpp
+++ b/standins/fleet_store.hpp
@@ -24,7 +24,9 @@
 /** Speaks the store's protocol; `/admin/store` sets its faults. */
 class fleet_store {
 public:
-    fleet_store(event_loop& loop, const std::string& address);
+    /** @param side_address A second address, which can fall silent alone. */
+    fleet_store(event_loop& loop, const std::string& address,
+                const std::string& side_address);
 
     /** Writes a record as the operator or a target does. */
     void put(const std::string& topic, const std::string& key,
@@ -54,8 +56,10 @@
     std::list<waiting_read> waiting_;
     bool down_ = false;
     bool lose_answers_ = false;
+    bool side_silent_ = false; ///< Takes requests at the side, answers none.
     std::vector<http_server::responder> lost_; ///< Never answered.
     http_server http_;
+    http_server side_;
 };
 
 } // namespace rattan::standin
--- /dev/null
+++ b/tests/claim_func_test.cpp
@@ -0,0 +1,81 @@
+/** @file When hosts claim the cell, by pattern of failure. */
+#include "dispatch/claim_func.hpp"
+
+#include <gtest/gtest.h>
+
+using namespace rattan;
+using namespace rattan::dispatch;
+
+namespace {
+
+/** A host in touch with everybody. */
+claim_view calm() {
+    return {.owner_epoch = 3,
+            .owner_silent = millis(100),
+            .since_change = millis(60'000),
+            .store_age = millis(200),
+            .store_steady = millis(60'000)};
+}
+
+} // namespace
+
+TEST(claim, silent_owner_is_replaced_by_rank) {
+    claim_view view = calm();
+    EXPECT_FALSE(claim_due(view));
+    view.owner_silent = millis(900);
+    EXPECT_TRUE(claim_due(view));
+    view.rank = 2;
+    EXPECT_FALSE(claim_due(view));
+}
+
+// A data centre comes back after a cut: its hosts have heard no owner for
+// seconds, though there is one. Failed while only the owner's silence counted.
+TEST(claim, returning_cut_zone_asks_before_it_claims) {
+    claim_view view = calm();
+    view.owner_silent = millis(6000);
+    view.store_steady = millis(100);
+    EXPECT_FALSE(claim_due(view));
+    view.store_steady = millis(900);
+    EXPECT_TRUE(claim_due(view)) << "the owner is silent for it as well";
+}
+
+TEST(claim, host_without_the_store_never_claims) {
+    claim_view view = calm();
+    view.owner_silent = millis(9000);
+    view.store_age = millis(1500);
+    EXPECT_FALSE(claim_due(view));
+}
+
+TEST(claim, restarted_owner_claims_again_at_once) {
+    claim_view view = calm();
+    view.own_earlier_life = true;
+    view.owner_silent = millis(0);
+    view.store_steady = millis(0);
+    EXPECT_TRUE(claim_due(view));
+}
+
+TEST(claim, owner_that_the_store_turns_away_is_replaced) {
+    claim_view view = calm();
+    view.owner_cut_off = true;
+    view.owner_silent = millis(300);
+    EXPECT_TRUE(claim_due(view));
+    view.store_age = millis(700);
+    EXPECT_FALSE(claim_due(view)) << "this host misses the store too";
+}
+
+// Under a slow store every host waits long between answers.
+TEST(claim, slow_store_does_not_make_owners_seem_cut_off) {
+    EXPECT_TRUE(misses_store(millis(800), millis(300)));
+    EXPECT_FALSE(misses_store(millis(500), millis(300)));
+    EXPECT_FALSE(misses_store(millis(900), millis(700)));
+}
+
+TEST(claim, helpers_are_hosts_that_reach_the_store) {
+    const auto helpers =
+        usable_helpers({{.address = "near", .near = true},
+                        {.address = "far"},
+                        {.address = "owner", .owner = true, .near = true},
+                        {.address = "silent", .heard = millis(3000)},
+                        {.address = "turned-away", .store_age = millis(2000)}});
+    EXPECT_EQ(helpers, (std::vector<std::string>{"owner", "far", "near"}));
+}
--- a/tests/process_front_test.cpp
+++ b/tests/process_front_test.cpp
@@ -22,6 +22,8 @@
 
 constexpr auto LONGEST_WAIT = std::chrono::seconds(40);
 constexpr int CALLERS_PORT = 8183;
+/** This host reaches the store at an address that can fall silent alone. */
+constexpr int SIDE_HOST = 1;
 
 /** Three hosts and a stand-in; all that it starts ends with it. */
 class front_process_test : public ::testing::Test {
@@ -92,7 +94,8 @@
             << "\nlistenAddrs.front=" << ip << ":" << CALLERS_PORT
             << "\nlistenAddrs.readyAddr=" << ip
             << ":8184\ninternalPorts=7420,7435\nplatform.address=" << net_
-            << "100:21000\nadvice=" << net_
+            << (host == SIDE_HOST ? "100:21003" : "100:21000")
+            << "\nadvice=" << net_
             << "100:21002\nlimits.maxFds=2000\nlimits.cpuShare=0.25\nlimits."
                "cpuCores=1\nplatform.callBytes=2097152\n"
                "platform.writesPerS=600\nheartbeatMs=1500\n"
@@ -176,9 +179,11 @@
         }
     }
 
-    /** The host that owns the cell, by its dump. */
-    int owner() {
+    /** The host that owns the cell, by its dump; one of the others if any. */
+    int owner(int besides = 0) {
         for (const auto& [host, pid] : hosts_) {
+            if (host == besides)
+                continue;
             const auto dump =
                 http_do({.url = "http://" + net_ + std::to_string(host) +
                                 ":9464/dump"})
@@ -280,6 +285,25 @@
     EXPECT_EQ(audit("starts"), 6) << "a refused job must never run";
 }
 
+// Failed while callers' records were written by the host that took them only.
+TEST_F(front_process_test, a_host_without_the_store_writes_through_others) {
+    http_do({.url = admin("/admin/store?side_silent=1")});
+    const json step = {{"count", 2}, {"cpu", 1000}, {"estimateMs", 50}};
+    const std::string body =
+        json({{"taskSpec", "ms=50"}, {"jobSteps", {step}}}).dump();
+    wait_for("an accepted job", [&] {
+        return call("POST", job_name(1), SIDE_HOST, body).status == 200;
+    });
+    // The old one can't read that it has been replaced.
+    wait_for("another owner", [&] { return owner(SIDE_HOST) != 0; });
+    int accepted = 0;
+    for (int i = 2; i < 22; ++i)
+        accepted += call("POST", job_name(i), SIDE_HOST, body).status == 200;
+    EXPECT_EQ(accepted, 20);
+    wait_for("completion",
+             [&] { return state(job_name(1), 2) == "completed"; });
+}
+
 TEST_F(front_process_test, a_cancelled_job_is_stopped) {
     submit(job_name(1), 1, 6, 0, true);
     wait_for("all tasks running", [&] { return audit("present") == 6; });
