Spread job records over partitions, keep progress in two, wait for a slow store

Change: hosts begin with job partitions of their own and go on with the next one; two writers a host; the owner's progress has a second partition and a stamp that orders copies; timeouts learn (append_pace); ended jobs are loaded from their progress. Records of forgotten jobs are dropped where they lie, and their progress only then: before, a job's record stayed and a takeover would have run it again.

--- a/src/dispatch/owner_base.cpp
+++ b/src/dispatch/owner_base.cpp
@@ -203,24 +203,26 @@
     targets_.sweep();
     const std::int64_t before =
         clock.wall_ms - (settings_.state_kept + KEPT_BEYOND).count();
-    std::erase_if(early_cancels_,
-                  [&](const auto& item) { return item.second < before; });
     std::vector<job_id> old;
+    for (const auto& [id, at] : early_cancels_)
+        if (at < before)
+            old.push_back(id);
+    for (const job_id& id : old)
+        early_cancels_.erase(id);
     for (const auto& [id, job] : jobs_.all())
         if (job.ended() && job.ended_ms < before && !live_.contains(id))
             old.push_back(id);
     for (const job_id& id : old) {
         jobs_.forget(id);
-        dropped_.push_back({.key = progress_key(id)});
-        dropped_.push_back({.key = job_key(id)});
-        dropped_.push_back({.key = cancel_key(id)});
     }
+    if (!old.empty())
+        output_.forget(old);
 }
 
 void owner::flush(const owner_clock& clock) {
     if (storing_ || deposed_)
         return;
-    std::vector<kept_record> records = std::exchange(dropped_, {});
+    std::vector<kept_record> records;
     for (const job_id& id : jobs_.take_changed())
         if (const job_entry* job = jobs_.find(id)) {
             records.push_back(
--- a/src/dispatch/owner_base.hpp
+++ b/src/dispatch/owner_base.hpp
@@ -37,6 +37,11 @@
                             millis timeout) = 0;
     /** Stores records in order, all or none; `owner::stored` follows. */
     virtual void store(const std::vector<kept_record>& records) = 0;
+    /**
+     * Drops what is kept of jobs: first the jobs, and only when these are
+     * gone their progress, or a later owner would take them for new.
+     */
+    virtual void forget(const std::vector<job_id>& jobs) = 0;
     /** Writes a line that explains a decision. */
     virtual void log(std::string_view event, const job_id& job,
                      const std::string& detail) = 0;
@@ -225,7 +230,6 @@
     std::vector<std::pair<target_id, task_id>> recording_; ///< In `store`.
     std::vector<std::pair<target_id, task_id>> chosen_;    ///< For the next.
     std::map<target_id, std::int64_t> storing_ends_;
-    std::vector<kept_record> dropped_; ///< Keys to drop with the next.
 };
 
 /** Keys of the store's topics. */
--- a/src/dispatch/record_codec.cpp
+++ b/src/dispatch/record_codec.cpp
@@ -122,7 +122,8 @@
             repeats.push_back(json::array({number, std::move(steps)}));
         }
     return json::array({static_cast<int>(job.state), job.ended_ms,
-                        job.repeats_done, job.next_repeat, std::move(repeats)})
+                        job.repeats_done, job.next_repeat, std::move(repeats),
+                        job.record.organisation})
         .dump();
 }
 
@@ -132,6 +133,18 @@
     });
 }
 
+std::optional<job_entry> decode_ended(const job_id& id,
+                                      const std::string& text) {
+    return decoding("progress", text, [&](const json& in) {
+        job_entry job{
+            .record = {.id = id,
+                       .organisation = in.at(5).get<organisation_id>()},
+            .state = static_cast<job_state>(in.at(0).get<int>()),
+            .ended_ms = in.at(1).get<std::int64_t>()};
+        return job.ended() ? std::optional(std::move(job)) : std::nullopt;
+    });
+}
+
 void apply_progress(job_entry& job, const std::string& text) {
     decoding("progress", text, [&](const json& in) {
         job.state = static_cast<job_state>(in.at(0).get<int>());
--- a/src/dispatch/record_codec.hpp
+++ b/src/dispatch/record_codec.hpp
@@ -3,6 +3,7 @@
 
 #include "dispatch/job_book.hpp"
 
+#include <optional>
 #include <string>
 
 namespace rattan::dispatch {
@@ -19,6 +20,13 @@
 /** The state alone of an encoded progress. @throw decode_error. */
 job_state decode_progress_state(const std::string& text);
 
+/**
+ * What is shown of a job that has ended, from its progress alone.
+ * @return Nothing when it has not ended. @throw decode_error.
+ */
+std::optional<job_entry> decode_ended(const job_id& id,
+                                      const std::string& text);
+
 /** Puts progress onto a freshly accepted job. @throw decode_error. */
 void apply_progress(job_entry& job, const std::string& text);
 
--- a/src/front/front_service.cpp
+++ b/src/front/front_service.cpp
@@ -6,6 +6,9 @@
 #include "net/wire_func.hpp"
 #include "platform/wire_codec.hpp"
 
+#include <xxhash.h>
+
+#include <algorithm>
 #include <utility>
 
 namespace rattan::front {
@@ -26,13 +29,22 @@
 constexpr millis LEAVE_SPARE{1000};    ///< Kept back of the grace time.
 constexpr std::size_t KEPT_DESCRIPTORS = 300; ///< Not for callers.
 constexpr unsigned CALLER_IDLE_S = 30;
+/** Twelve reads of the owner wait, appends and loads come besides. */
+constexpr long STORE_CONNECTIONS = 40;
+
+/** Hosts begin with different partitions. */
+int first_part(const host_id& host) {
+    return static_cast<int>(XXH64(host.value.data(), host.value.size(), 0) %
+                            MOST_JOB_PARTS);
+}
 
 } // namespace
 
 front_service::front_service(event_loop& loop,
                              const platform::platform_settings& settings)
     : loop_(loop), settings_(settings), life_(wall_millis()), http_(loop),
-      store_(http_, settings.store_address),
+      store_http_(loop, {.connections_a_target = STORE_CONNECTIONS}),
+      store_(store_http_, settings.store_address),
       rpc_address_(settings.ip + ":" +
                    std::to_string(settings.first_internal_port)),
       members_(loop, store_, settings_, rpc_address_, life_,
@@ -71,8 +83,13 @@
           [this](const std::set<std::string>& keys) {
               operator_records_loaded(keys);
           }),
-      writer_(loop, store_, JOBS_TOPIC,
-              settings.host.value + "/" + std::to_string(life_)) {}
+      writer_(loop, store_,
+              {.topic = JOBS_TOPIC,
+               .parts = std::min(settings.store_parts, MOST_JOB_PARTS),
+               .first_part = first_part(settings.host),
+               .producer = settings.host.value + "/" + std::to_string(life_)}) {
+    writer_.on_answered([this] { members_.store_answered(); });
+}
 
 void front_service::start() {
     serve_peers();
@@ -290,7 +307,8 @@
 void front_service::watch_owner() {
     const bool needed = !owner_ && members_.owner_age() > OWNER_SILENT;
     if (needed && !states_)
-        states_ = std::make_unique<state_reader>(loop_, store_);
+        states_ = std::make_unique<state_reader>(loop_, store_,
+                                                 settings_.store_parts);
     else if (!needed && states_ && members_.owner_age() < OWNER_HEARD)
         states_.reset();
 }
--- a/src/front/front_service.hpp
+++ b/src/front/front_service.hpp
@@ -84,13 +84,14 @@
     platform::platform_settings settings_;
     std::int64_t life_;
     metrics_registry metrics_;
-    http_client http_;
+    http_client http_;       ///< For targets and the advice service.
+    http_client store_http_; ///< For the store: many reads wait there.
     platform::store_client store_;
     std::string rpc_address_;
     member_service members_;
     delegate_service delegates_;
     topic_follower operator_;
-    record_writer writer_;
+    writer_group writer_;
     dispatch::cell_config config_;
     std::set<data_centre_id> evacuated_;
     std::unique_ptr<owner_service> owner_;
--- a/src/front/owner_service.cpp
+++ b/src/front/owner_service.cpp
@@ -6,6 +6,7 @@
 #include "platform/wire_codec.hpp"
 #include "rattan/error_type.hpp"
 
+#include <algorithm>
 #include <ctime>
 #include <utility>
 
@@ -19,8 +20,13 @@
 
 namespace {
 
-constexpr millis LOAD_TIME{1500};   ///< Of a page of records.
-constexpr millis APPEND_TIME{700};  ///< An answer is given up after this.
+constexpr millis LOAD_TIME{1500}; ///< Of a page of records.
+constexpr millis JOBS_WAIT{2000}; ///< A read of jobs waits so long.
+/** Hosts tell of jobs directly: the log only shows what they could not. */
+constexpr millis JOBS_PAUSE{500};
+constexpr millis EAGER_TIME{5000}; ///< Without pauses, after such a record.
+constexpr millis DROP_TIME{1500};
+constexpr millis DROP_RETRY{1000};
 constexpr millis RETRY_TIME{100};   ///< After a call without success.
 constexpr millis START_TIME{900};   ///< Of an order that starts a run.
 constexpr millis STOP_TIME{700};    ///< Of one that stops or slows it.
@@ -69,12 +75,17 @@
           delegates.call(call, std::move(done));
       }),
       owner_(decide_settings(context.settings, epoch), *this), epoch_(epoch),
+      progress_(context.loop, context.store, epoch,
+                std::min(context.settings.store_parts, MOST_PROGRESS_PARTS),
+                {.fenced = [this] { context_.members.deposed(); },
+                 .answered =
+                     [this](mono_time sent_at) {
+                         context_.members.store_answered();
+                         owner_.confirmed(sent_at);
+                     }}),
+      progress_to_load_(progress_.parts()),
       suspended_before_(time_suspended()) {
-    jobs_ = std::make_unique<topic_follower>(
-        context_.loop, context_.store,
-        follow_options{.topic = JOBS_TOPIC, .wait = millis(1000)},
-        [this](const keyed_record& record) { take_job_record(record); },
-        [this](const std::set<std::string>&) { load_done(); });
+    follow_jobs();
     listed_ = std::make_unique<topic_follower>(
         context_.loop, context_.store,
         follow_options{.topic = platform::TARGETS_TOPIC,
@@ -88,7 +99,21 @@
             target_keys_ = keys;
             load_done();
         });
-    fence_store();
+    progress_.fence([this] { fenced(); });
+}
+
+void owner_service::follow_jobs() {
+    const int parts = std::min(context_.settings.store_parts, MOST_JOB_PARTS);
+    eager_until_.resize(static_cast<std::size_t>(parts));
+    for (int part = 0; part < parts; ++part)
+        jobs_.push_back(std::make_unique<topic_follower>(
+            context_.loop, context_.store,
+            follow_options{
+                .topic = JOBS_TOPIC, .part = part, .wait = JOBS_WAIT},
+            [this, part](const keyed_record& record) {
+                take_followed_record(static_cast<std::size_t>(part), record);
+            },
+            [this](const std::set<std::string>&) { load_done(); }));
 }
 
 owner_service::~owner_service() {
@@ -108,71 +133,68 @@
     return {.now = event_loop::now(), .wall_ms = wall_millis()};
 }
 
-void owner_service::fence_store() {
-    // From here on no earlier owner can store anything.
-    context_.store.append(
-        {.topic = PROGRESS_TOPIC,
-         .identity = platform::append_identity{.producer = "owner",
-                                               .epoch = epoch_,
-                                               .sequence = sequence_},
-         .timeout = APPEND_TIME},
-        guarded([this](const append_answer& answer) {
-            if (answer.result == store_result::fenced)
-                return context_.members.deposed();
-            if (answer.result != store_result::ok &&
-                answer.result != store_result::out_of_order) {
-                context_.loop.after(RETRY_TIME,
-                                    guarded([this] { fence_store(); }));
-                return;
-            }
-            jobs_->start();
-            listed_->start();
-            load_progress("");
-        }));
+void owner_service::fenced() {
+    for (const auto& part : jobs_)
+        part->start();
+    listed_->start();
+    for (int part = 0; part < progress_.parts(); ++part)
+        load_progress(part, "");
 }
 
-void owner_service::load_progress(const std::string& after) {
+void owner_service::load_progress(int part, const std::string& after) {
     context_.store.newest(
-        PROGRESS_TOPIC, after, LOAD_TIME,
-        guarded([this, after](const newest_answer& page) {
+        PROGRESS_TOPIC, part, after, LOAD_TIME,
+        guarded([this, part, after](const newest_answer& page) {
             if (page.result != store_result::ok) {
-                context_.loop.after(RETRY_TIME, guarded([this, after] {
-                                        load_progress(after);
+                context_.loop.after(RETRY_TIME, guarded([this, part, after] {
+                                        load_progress(part, after);
                                     }));
                 return;
             }
+            if (!page.records.empty())
+                progress_.note_keys(part);
             for (const keyed_record& record : page.records)
-                loaded_progress_[{record.key.substr(PROGRESS_PREFIX)}] =
-                    record.value;
+                take_progress(record);
             if (page.more && !page.records.empty())
-                return load_progress(page.records.back().key);
-            progress_loaded_ = true;
+                return load_progress(part, page.records.back().key);
+            --progress_to_load_;
             load_done();
         }));
 }
 
+void owner_service::take_progress(const keyed_record& record) {
+    try {
+        auto [stamp, value] = split_progress(record.value);
+        loaded_progress& known =
+            loaded_progress_[{record.key.substr(PROGRESS_PREFIX)}];
+        if (stamp > known.stamp)
+            known = {stamp, std::move(value)};
+    } catch (const decode_error& failure) {
+        log_event(log_level::error, "progress_unreadable",
+                  {{"key", record.key}, {"cause", failure.what()}});
+    }
+}
+
 void owner_service::load_done() {
-    if (serving_ || !progress_loaded_ || !jobs_->loaded() || !listed_->loaded())
+    const bool jobs_loaded =
+        std::all_of(jobs_.begin(), jobs_.end(),
+                    [](const auto& part) { return part->loaded(); });
+    if (serving_ || progress_to_load_ > 0 || !jobs_loaded || !listed_->loaded())
         return;
     const owner_clock at = clock();
-    for (auto& [id, record] : std::exchange(loaded_jobs_, {})) {
-        job_entry job{.record = std::move(record)};
-        const auto progress = loaded_progress_.find(id);
-        try {
-            if (progress != loaded_progress_.end())
-                apply_progress(job, progress->second);
-        } catch (const decode_error& failure) {
-            log_event(log_level::error, "progress_unreadable",
-                      {{"job", id.value}, {"cause", failure.what()}});
-            continue;
-        }
-        owner_.restore(std::move(job), at);
-    }
-    loaded_progress_.clear();
+    for (const auto& [id, record] : std::exchange(loaded_jobs_, {}))
+        restore_job(id, record, at);
+    std::vector<std::string> orphans;
+    for (const auto& [id, progress] : std::exchange(loaded_progress_, {}))
+        if (owner_.jobs().find(id) == nullptr)
+            orphans.push_back(progress_key(id));
+    progress_.drop(orphans);
     owner_.take_over(at);
     serving_ = true;
     for (const job_id& id : std::exchange(loaded_cancels_, {}))
         owner_.cancelled(id, at);
+    for (const auto& part : jobs_)
+        part->set_pause(JOBS_PAUSE);
     log_event(log_level::info, "owner_serving",
               {{"epoch", std::to_string(epoch_)},
                {"jobs", std::to_string(owner_.jobs().all().size())},
@@ -180,6 +202,44 @@
     wake();
 }
 
+void owner_service::restore_job(const job_id& id, const std::string& record,
+                                const owner_clock& at) {
+    const auto progress = loaded_progress_.find(id);
+    try {
+        // Most jobs have ended: their records need not be read.
+        if (progress != loaded_progress_.end())
+            if (auto ended = decode_ended(id, progress->second.value))
+                return owner_.restore(std::move(*ended), at);
+        job_entry job{.record = decode_job_record(record)};
+        if (progress != loaded_progress_.end())
+            apply_progress(job, progress->second.value);
+        owner_.restore(std::move(job), at);
+    } catch (const decode_error& failure) {
+        log_event(log_level::error, "job_unreadable",
+                  {{"job", id.value}, {"cause", failure.what()}});
+    }
+}
+
+void owner_service::take_stored(const keyed_record& record) {
+    take_job_record(record);
+}
+
+void owner_service::take_followed_record(std::size_t part,
+                                         const keyed_record& record) {
+    const job_id id{
+        record.key.substr(std::min(PROGRESS_PREFIX, record.key.size()))};
+    const mono_time now = event_loop::now();
+    if (serving_ && record.key == job_key(id) && !record.value.empty() &&
+        owner_.jobs().find(id) == nullptr) {
+        // Its host can't tell this one: the log is read eagerly for a while.
+        eager_until_[part] = now + EAGER_TIME;
+        jobs_[part]->set_pause(millis(0));
+    } else if (serving_ && now > eager_until_[part]) {
+        jobs_[part]->set_pause(JOBS_PAUSE);
+    }
+    take_job_record(record);
+}
+
 void owner_service::take_job_record(const keyed_record& record) {
     if (record.value.empty() || record.key.size() < PROGRESS_PREFIX)
         return;
@@ -191,11 +251,10 @@
             else
                 loaded_cancels_.insert(id);
         } else if (record.key == job_key(id)) {
-            job_record job = decode_job_record(record.value);
-            if (serving_)
-                owner_.accepted(std::move(job), clock());
-            else
-                loaded_jobs_.try_emplace(id, std::move(job));
+            if (!serving_)
+                loaded_jobs_.try_emplace(id, record.value);
+            else if (owner_.jobs().find(id) == nullptr)
+                owner_.accepted(decode_job_record(record.value), clock());
         }
     } catch (const decode_error& failure) {
         log_event(log_level::error, "job_unreadable",
@@ -369,50 +428,53 @@
     std::vector<keyed_record> out;
     for (const kept_record& record : records)
         out.push_back({.key = record.key, .value = record.value});
-    ++sequence_;
-    append(out, guarded([this] {
-               owner_.stored(clock());
-               wake();
-           }));
+    ++context_.metrics.counter("rattan_owner_appends_total");
+    progress_.write(out, guarded([this] {
+                        owner_.stored(clock());
+                        wake();
+                    }));
 }
 
-void owner_service::append(const std::vector<keyed_record>& records,
-                           std::function<void()> done) {
-    ++context_.metrics.counter("rattan_owner_appends_total");
+void owner_service::forget(const std::vector<job_id>& jobs) {
+    std::vector<std::string> progress;
+    for (const job_id& id : jobs)
+        progress.push_back(progress_key(id));
+    const auto left = std::make_shared<int>(1);
+    const auto part_done = [this, left, progress] {
+        if (--*left == 0)
+            progress_.drop(progress);
+    };
+    for (std::size_t part = 0; part < jobs_.size(); ++part) {
+        std::vector<keyed_record> drops;
+        for (const job_id& id : jobs)
+            for (const std::string& key : {job_key(id), cancel_key(id)})
+                if (jobs_[part]->holds(key))
+                    drops.push_back({.key = key});
+        if (drops.empty())
+            continue;
+        ++*left;
+        append_drops(static_cast<int>(part), drops, part_done);
+    }
+    part_done();
+}
+
+void owner_service::append_drops(int part,
+                                 const std::vector<keyed_record>& records,
+                                 std::function<void()> done) {
     context_.store.append(
-        {.topic = PROGRESS_TOPIC,
+        {.topic = JOBS_TOPIC,
+         .part = part,
          .records = records,
-         .identity = platform::append_identity{.producer = "owner",
-                                               .epoch = epoch_,
-                                               .sequence = sequence_},
-         .timeout = APPEND_TIME},
-        guarded([this, records, done,
-                 sent_at = event_loop::now()](const append_answer& answer) {
-            switch (answer.result) {
-            case store_result::ok:
-                context_.members.store_answered();
-                owner_.confirmed(sent_at);
+         .timeout = DROP_TIME},
+        guarded([this, part, records, done](const append_answer& answer) {
+            if (answer.result == store_result::ok)
                 return done();
-            case store_result::fenced:
-                return context_.members.deposed();
-            case store_result::out_of_order:
-                if (answer.expected_sequence == sequence_ + 1)
-                    return done(); // An earlier try was done.
-                log_event(
-                    log_level::warning, "owner_append_out_of_order",
-                    {{"sent", std::to_string(sequence_)},
-                     {"expected", std::to_string(answer.expected_sequence)}});
-                if (answer.expected_sequence < sequence_)
-                    sequence_ = answer.expected_sequence;
-                break;
-            default:
-                log_event(log_level::warning, "owner_append_failed",
-                          {{"result",
-                            std::to_string(static_cast<int>(answer.result))}});
-                break;
-            }
-            context_.loop.after(RETRY_TIME, guarded([this, records, done] {
-                                    append(records, done);
+            log_event(log_level::warning, "drop_failed",
+                      {{"partition", std::to_string(part)},
+                       {"records", std::to_string(records.size())}});
+            context_.loop.after(DROP_RETRY,
+                                guarded([this, part, records, done] {
+                                    append_drops(part, records, done);
                                 }));
         }));
 }
--- a/src/front/owner_service.hpp
+++ b/src/front/owner_service.hpp
@@ -5,6 +5,7 @@
 #include "dispatch/owner_base.hpp"
 #include "front/delegate_service.hpp"
 #include "front/member_service.hpp"
+#include "front/progress_writer.hpp"
 #include "front/topic_follower.hpp"
 #include "platform/target_client.hpp"
 
@@ -14,9 +15,12 @@
 
 namespace rattan::front {
 
-/** Topics of jobs as accepted, and of what has become of them. */
+/** Topic of jobs as accepted. */
 inline const std::string JOBS_TOPIC = "keyed.jobs";
-inline const std::string PROGRESS_TOPIC = "keyed.progress";
+/** Each host begins with partitions of its own; a slow one delays few. */
+constexpr int MOST_JOB_PARTS = 8;
+/** Progress goes to the second one while the first does not answer. */
+constexpr int MOST_PROGRESS_PARTS = 2;
 
 /** What the owner needs of its process. */
 struct owner_context {
@@ -41,9 +45,7 @@
     void set_hosts();
     void confirmed(mono_time at);
     /** Takes a caller's record that is in the store. @pre `serving`. */
-    void take_stored(const platform::keyed_record& record) {
-        take_job_record(record);
-    }
+    void take_stored(const platform::keyed_record& record);
 
     /** Everything is loaded: questions can be answered. */
     [[nodiscard]] bool serving() const { return serving_; }
@@ -71,17 +73,33 @@
                     const std::vector<std::string>& targets,
                     millis timeout) override;
     void store(const std::vector<dispatch::kept_record>& records) override;
+    void forget(const std::vector<job_id>& jobs) override;
     void log(std::string_view event, const job_id& job,
              const std::string& detail) override;
 
 private:
-    void fence_store();
-    void load_progress(const std::string& after);
+    /** Progress as loaded, the newest of all partitions. */
+    struct loaded_progress {
+        progress_stamp stamp;
+        std::string value;
+    };
+
+    void follow_jobs();
+    void fenced();
+    void load_progress(int part, const std::string& after);
+    void take_progress(const platform::keyed_record& record);
     void load_done();
+    void restore_job(const job_id& id, const std::string& record,
+                     const dispatch::owner_clock& at);
     void take_job_record(const platform::keyed_record& record);
+    /** The log shows a record: it should have been told already. */
+    void take_followed_record(std::size_t part,
+                              const platform::keyed_record& record);
     void take_target_record(const platform::keyed_record& record);
-    void append(const std::vector<platform::keyed_record>& records,
-                std::function<void()> done);
+    /** Drops job records of a partition, until it is done. */
+    void append_drops(int part,
+                      const std::vector<platform::keyed_record>& records,
+                      std::function<void()> done);
     [[nodiscard]] dispatch::owner_clock clock();
     /** Does what an event made due, once a round of the loop. */
     void wake();
@@ -94,14 +112,15 @@
     platform::target_client targets_;
     dispatch::owner owner_;
     std::int64_t epoch_;
-    std::int64_t sequence_ = 0;
-    std::unique_ptr<topic_follower> jobs_;
+    progress_writer progress_;
+    std::vector<std::unique_ptr<topic_follower>> jobs_; ///< By partition.
+    std::vector<mono_time> eager_until_;                ///< The same.
     std::unique_ptr<topic_follower> listed_;
-    std::map<job_id, dispatch::job_record> loaded_jobs_;
+    std::map<job_id, std::string> loaded_jobs_; ///< Records as stored.
     std::set<job_id> loaded_cancels_;
-    std::map<job_id, std::string> loaded_progress_;
+    std::map<job_id, loaded_progress> loaded_progress_;
     std::set<std::string> target_keys_;
-    bool progress_loaded_ = false;
+    int progress_to_load_ = 0; ///< Partitions.
     bool serving_ = false;
     bool tick_scheduled_ = false;
     long timer_ = 0;
--- a/src/front/record_writer.cpp
+++ b/src/front/record_writer.cpp
@@ -3,6 +3,7 @@
 #include "base/log_func.hpp"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace rattan::front {
@@ -12,16 +13,19 @@
 
 namespace {
 
-constexpr millis APPEND_TIME{600}; ///< An answer is given up after this.
-constexpr millis RETRY_TIME{80};
+constexpr millis RETRY_TIME{20};
 constexpr std::size_t MOST_RECORDS = 64; ///< Of one batch.
+/** A caller waits 3 s; half of that is kept for another try of its own. */
+constexpr millis GIVE_UP{1100};
+constexpr int MOST_REFUSED = 2; ///< Tries of a batch that all were refused.
+constexpr int WRITERS = 2;      ///< Of one process.
 
 } // namespace
 
 record_writer::record_writer(event_loop& loop, platform::store_client& store,
-                             std::string topic, std::string producer)
-    : loop_(loop), store_(store), topic_(std::move(topic)),
-      producer_(std::move(producer)) {}
+                             writer_options options)
+    : loop_(loop), store_(store), options_(std::move(options)),
+      part_(options_.first_part % options_.parts) {}
 
 void record_writer::write(const std::string& key, const std::string& value,
                           callback done) {
@@ -38,6 +42,7 @@
         queue_.pop_front();
     }
     unclear_ = false;
+    tries_ = 0;
     if (!batch_.empty())
         append();
 }
@@ -46,47 +51,62 @@
     std::vector<platform::keyed_record> records;
     for (const item& entry : batch_)
         records.push_back(entry.record);
+    ++tries_;
     store_.append(
-        {.topic = topic_,
+        {.topic = options_.topic,
+         .part = part_,
          .records = std::move(records),
          .identity =
-             platform::append_identity{.producer = producer_ + "/" +
+             platform::append_identity{.producer = options_.producer + "/" +
                                                    std::to_string(generation_),
                                        .epoch = 1,
                                        .sequence = sequence_},
-         .timeout = APPEND_TIME},
-        [this](const append_answer& answer) { answered(answer); });
+         .timeout = pace_.timeout()},
+        [this, sent_at = event_loop::now()](const append_answer& answer) {
+            take_answer(answer, sent_at);
+        });
 }
 
-void record_writer::answered(const append_answer& answer) {
-    const bool ok = answer.result == store_result::ok ||
-                    (answer.result == store_result::out_of_order && unclear_ &&
-                     answer.expected_sequence == sequence_ + 1);
+void record_writer::take_answer(const append_answer& answer,
+                                mono_time sent_at) {
+    const mono_time now = event_loop::now();
+    const bool ok = answer.result == store_result::ok;
+    if (ok) {
+        pace_.answered(now - sent_at);
+        if (answered_)
+            answered_();
+    } else if (answer.result == store_result::unknown) {
+        pace_.missed();
+        unclear_ = true;
+    }
     if (std::exchange(failing_, !ok) == ok)
-        log_event(ok ? log_level::info : log_level::warning,
-                  ok ? "store_regained" : "store_lost", {{"topic", topic_}});
+        log_event(
+            ok ? log_level::info : log_level::warning,
+            ok ? "store_regained" : "store_lost",
+            {{"topic", options_.topic},
+             {"partition", std::to_string(part_)},
+             {"result", std::to_string(static_cast<int>(answer.result))}});
     if (ok) {
         ++sequence_;
         return finish(write_result::stored);
     }
-    if (answer.result == store_result::unknown)
-        unclear_ = true;
-    const bool expired =
-        event_loop::now() - batch_.front().arrived >= MOST_TIME - APPEND_TIME;
-    if (!unclear_) {
-        finish(write_result::not_stored);
-        return;
-    }
-    if (expired) {
-        // The batch may still arrive: its number is not used again.
-        ++generation_;
-        sequence_ = 0;
-        return finish(write_result::unknown);
-    }
+    change_part();
+    if (now - batch_.front().arrived >= GIVE_UP)
+        return finish(unclear_ ? write_result::unknown
+                               : write_result::not_stored);
+    if (!unclear_ && tries_ >= MOST_REFUSED)
+        return finish(write_result::not_stored);
     fail_queue();
     loop_.after(RETRY_TIME, [this] { append(); });
 }
 
+void record_writer::change_part() {
+    // The batch may still arrive where it went: its number is not used again.
+    part_ = (part_ + 1) % options_.parts;
+    ++generation_;
+    sequence_ = 0;
+}
+
 void record_writer::fail_queue() {
     for (item& entry : std::exchange(queue_, {}))
         entry.done(write_result::not_stored);
@@ -102,4 +122,42 @@
         send_batch();
 }
 
+writer_group::writer_group(event_loop& loop, platform::store_client& store,
+                           const writer_options& options) {
+    for (int i = 0; i < WRITERS; ++i) {
+        writer_options own = options;
+        own.first_part = options.first_part + i;
+        own.producer += "/" + std::to_string(i);
+        writers_.push_back(
+            std::make_unique<record_writer>(loop, store, std::move(own)));
+    }
+}
+
+void writer_group::write(const std::string& key, const std::string& value,
+                         record_writer::callback done) {
+    const auto best = std::min_element(
+        writers_.begin(), writers_.end(), [](const auto& a, const auto& b) {
+            return std::tuple(a->failing(), a->pending()) <
+                   std::tuple(b->failing(), b->pending());
+        });
+    (*best)->write(key, value, std::move(done));
+}
+
+void writer_group::on_answered(const std::function<void()>& call) {
+    for (const auto& writer : writers_)
+        writer->on_answered(call);
+}
+
+bool writer_group::failing() const {
+    return std::all_of(writers_.begin(), writers_.end(),
+                       [](const auto& writer) { return writer->failing(); });
+}
+
+std::size_t writer_group::pending() const {
+    std::size_t sum = 0;
+    for (const auto& writer : writers_)
+        sum += writer->pending();
+    return sum;
+}
+
 } // namespace rattan::front
--- a/src/front/state_reader.cpp
+++ b/src/front/state_reader.cpp
@@ -5,6 +5,8 @@
 #include "front/owner_service.hpp"
 #include "rattan/error_type.hpp"
 
+#include <algorithm>
+
 namespace rattan::front {
 
 using namespace dispatch;
@@ -17,17 +19,27 @@
 
 } // namespace
 
-state_reader::state_reader(event_loop& loop, platform::store_client& store)
-    : jobs_(
-          loop, store, {.topic = JOBS_TOPIC, .pause = READ_PAUSE},
-          [this](const keyed_record& record) { take_job(record); },
-          [](const std::set<std::string>&) {}),
-      progress_(
-          loop, store, {.topic = PROGRESS_TOPIC, .pause = READ_PAUSE},
-          [this](const keyed_record& record) { take_progress(record); },
-          [](const std::set<std::string>&) {}) {
-    jobs_.start();
-    progress_.start();
+state_reader::state_reader(event_loop& loop, platform::store_client& store,
+                           int store_parts) {
+    const auto follow = [&](const std::string& topic, int parts, auto take) {
+        for (int part = 0; part < std::min(store_parts, parts); ++part)
+            followers_.push_back(std::make_unique<topic_follower>(
+                loop, store,
+                follow_options{
+                    .topic = topic, .part = part, .pause = READ_PAUSE},
+                take, [](const std::set<std::string>&) {}));
+    };
+    follow(JOBS_TOPIC, MOST_JOB_PARTS,
+           [this](const keyed_record& record) { take_job(record); });
+    follow(PROGRESS_TOPIC, MOST_PROGRESS_PARTS,
+           [this](const keyed_record& record) { take_progress(record); });
+    for (const auto& follower : followers_)
+        follower->start();
+}
+
+bool state_reader::loaded() const {
+    return std::all_of(followers_.begin(), followers_.end(),
+                       [](const auto& one) { return one->loaded(); });
 }
 
 void state_reader::take_job(const keyed_record& record) {
@@ -49,8 +61,12 @@
     if (record.key.size() <= KEY_PREFIX || record.value.empty())
         return;
     try {
-        known_[{record.key.substr(KEY_PREFIX)}].state =
-            decode_progress_state(record.value);
+        const auto [stamp, value] = split_progress(record.value);
+        known_job& job = known_[{record.key.substr(KEY_PREFIX)}];
+        if (stamp > job.stamp) {
+            job.stamp = stamp;
+            job.state = decode_progress_state(value);
+        }
     } catch (const decode_error& failure) {
         log_event(log_level::error, "progress_unreadable",
                   {{"key", record.key}, {"cause", failure.what()}});
--- a/src/front/state_reader.hpp
+++ b/src/front/state_reader.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "dispatch/record_codec.hpp"
+#include "front/progress_writer.hpp"
 #include "front/topic_follower.hpp"
 
 #include <map>
@@ -12,12 +13,12 @@
 /** Follows accepted jobs and their progress; made when it is needed. */
 class state_reader {
 public:
-    state_reader(event_loop& loop, platform::store_client& store);
+    /** @param store_parts Partitions of a topic of the store. */
+    state_reader(event_loop& loop, platform::store_client& store,
+                 int store_parts);
 
     /** Everything that is kept has been read. */
-    [[nodiscard]] bool loaded() const {
-        return jobs_.loaded() && progress_.loaded();
-    }
+    [[nodiscard]] bool loaded() const;
 
     /** A job's state, as far as it is stored. @pre `loaded`. */
     [[nodiscard]] dispatch::job_state
@@ -27,6 +28,7 @@
     struct known_job {
         std::optional<dispatch::organisation_id> organisation;
         dispatch::job_state state = dispatch::job_state::pending;
+        progress_stamp stamp; ///< Of that state.
         bool cancelled = false;
     };
 
@@ -34,8 +36,7 @@
     void take_progress(const platform::keyed_record& record);
 
     std::map<job_id, known_job> known_;
-    topic_follower jobs_;
-    topic_follower progress_;
+    std::vector<std::unique_ptr<topic_follower>> followers_;
 };
 
 } // namespace rattan::front
--- a/src/front/topic_follower.cpp
+++ b/src/front/topic_follower.cpp
@@ -38,7 +38,7 @@
 }
 
 void topic_follower::load(const std::string& after) {
-    store_.newest(options_.topic, after, CALL_TIME,
+    store_.newest(options_.topic, options_.part, after, CALL_TIME,
                   [this, after, sent_at = event_loop::now(),
                    alive = std::weak_ptr(alive_)](const newest_answer& page) {
                       if (alive.expired())
@@ -79,11 +79,16 @@
     if (record.offset <= newest)
         return;
     newest = record.offset;
+    const bool dropped = record.value.empty();
+    const std::weak_ptr<bool> alive = alive_;
     record_(record);
+    if (dropped && !alive.expired())
+        offsets_.erase(record.key);
 }
 
 void topic_follower::read() {
     store_.read({.topic = options_.topic,
+                 .part = options_.part,
                  .from = next_,
                  .wait = options_.wait,
                  .timeout = options_.wait + CALL_TIME},
--- a/src/front/topic_follower.hpp
+++ b/src/front/topic_follower.hpp
@@ -15,6 +15,7 @@
 /** Which topic, and how eagerly. */
 struct follow_options {
     std::string topic;
+    int part = 0;
     millis wait{1000}; ///< A read waits so long for a record.
     millis pause{0};   ///< Between reads that brought records.
 };
@@ -32,7 +33,14 @@
     /** Starts to follow; stops when this object ends. */
     void start() { load(""); }
 
+    /** Sets the pause between reads that brought records. */
+    void set_pause(millis pause) { options_.pause = pause; }
+
     [[nodiscard]] bool loaded() const { return loaded_; }
+    /** Tells whether a key has been seen here. */
+    [[nodiscard]] bool holds(const std::string& key) const {
+        return offsets_.contains(key);
+    }
     /** Offset after the last record seen. */
     [[nodiscard]] std::int64_t next() const { return next_; }
     /** When the last call was sent that the store answered. */
--- a/standins/fleet_store.cpp
+++ b/standins/fleet_store.cpp
@@ -25,6 +25,12 @@
     return found == request.query.end() ? "" : found->second;
 }
 
+/** Names the partition that a request is about. */
+std::string partition(const http_request& request) {
+    return text(request, "topic") + "/" +
+           std::to_string(number(request, "part", 0));
+}
+
 std::string big_endian(std::uint64_t value, size_t bytes) {
     std::string out(bytes, '\0');
     for (size_t i = 0; i < bytes; ++i)
@@ -80,7 +86,7 @@
 
 void fleet_store::put(const std::string& topic, const std::string& key,
                       const std::string& value) {
-    add(topics_[topic],
+    add(topics_[topic + "/0"],
         std::string(1, static_cast<char>(key.size())) + key + value);
 }
 
@@ -88,6 +94,8 @@
     down_ = number(request, "down", down_ ? 1 : 0) != 0;
     lose_answers_ = number(request, "lose", lose_answers_ ? 1 : 0) != 0;
     side_silent_ = number(request, "side_silent", side_silent_ ? 1 : 0) != 0;
+    if (const std::string part = text(request, "silent_part"); !part.empty())
+        silent_parts_.insert(part);
     if (!request.query.contains("put"))
         return {.body = "{}"};
     put(text(request, "topic"), text(request, "put"), request.body);
@@ -98,6 +106,8 @@
                          http_server::responder answer) {
     if (down_)
         return answer({.status = 503, .body = "{}"});
+    if (silent_parts_.contains(partition(request)))
+        return lost_.push_back(std::move(answer));
     if (request.path == "/-/log-read")
         return read(request, std::move(answer));
     if (request.path == "/-/log-newest")
@@ -112,7 +122,7 @@
 }
 
 http_reply fleet_store::append(const http_request& request) {
-    fleet_topic& topic = topics_[text(request, "topic")];
+    fleet_topic& topic = topics_[partition(request)];
     const auto end = static_cast<std::int64_t>(topic.records.size());
     const std::int64_t at = number(request, "at", end);
     if (at != end)
@@ -149,7 +159,7 @@
 }
 
 http_reply fleet_store::newest(const http_request& request) {
-    const fleet_topic& topic = topics_[text(request, "topic")];
+    const fleet_topic& topic = topics_[partition(request)];
     const std::string after = text(request, "after");
     json items = json::array();
     constexpr size_t PAGE = 500;
@@ -178,7 +188,7 @@
 
 void fleet_store::read(const http_request& request,
                        http_server::responder answer) {
-    const std::string topic = text(request, "topic");
+    const std::string topic = partition(request);
     const std::int64_t from = number(request, "from", 0);
     const millis wait(number(request, "waitMs", 0));
     if (from < topics_[topic].first)
--- a/standins/fleet_store.hpp
+++ b/standins/fleet_store.hpp
@@ -12,7 +12,7 @@
 
 namespace rattan::standin {
 
-/** One topic; partition 0 is the only one. */
+/** One partition of a topic. */
 struct fleet_topic {
     std::vector<std::string> records; ///< Key length, key and value.
     std::map<std::string, std::int64_t> newest;
@@ -56,6 +56,7 @@
     std::list<waiting_read> waiting_;
     bool down_ = false;
     bool lose_answers_ = false;
+    std::set<std::string> silent_parts_; ///< As `topic/number`; never answer.
     bool side_silent_ = false; ///< Takes requests at the side, answers none.
     std::vector<http_server::responder> lost_; ///< Never answered.
     http_server http_;
--- a/tests/dispatch_world.hpp
+++ b/tests/dispatch_world.hpp
@@ -102,6 +102,7 @@
                     const std::vector<std::string>& targets,
                     millis timeout) override;
     void store(const std::vector<kept_record>& records) override;
+    void forget(const std::vector<job_id>&) override {}
     void log(std::string_view, const job_id&, const std::string&) override {}
 
 private:
--- a/tests/process_front_test.cpp
+++ b/tests/process_front_test.cpp
@@ -98,10 +98,11 @@
             << "\nadvice=" << net_
             << "100:21002\nlimits.maxFds=2000\nlimits.cpuShare=0.25\nlimits."
                "cpuCores=1\nplatform.callBytes=2097152\n"
-               "platform.writesPerS=600\nheartbeatMs=1500\n"
+               "platform.writesPerS=600\nplatform.parts=16\nheartbeatMs=1500\n"
                "bounds.maxHoldMs=6000\nbounds.stopMs=200\n"
                "bounds.gangWaitMs=3000\nbounds.graceS=6\n"
-               "bounds.status_s=120\nbounds.harmMs=4000\nunknown.field=x\n";
+               "bounds.harmMs=4000\nunknown.field=x\nbounds.status_s="
+            << state_kept_s_ << "\n";
         out.close();
         hosts_[host] = spawn("rattan_front", {"--settings=" + path.string()});
     }
@@ -197,6 +198,7 @@
     std::string net_;
     std::filesystem::path folder_;
     pid_t platform_ = 0;
+    int state_kept_s_ = 120; ///< For hosts that are started from then on.
     std::map<int, pid_t> hosts_;
 };
 
@@ -304,6 +306,46 @@
              [&] { return state(job_name(1), 2) == "completed"; });
 }
 
+// Some partitions of the store don't answer: records go to others. Failed
+// while each topic had one partition.
+TEST_F(front_process_test, silent_partitions_hold_up_nothing) {
+    for (const char* part : {"keyed.progress/0", "keyed.jobs/0", "keyed.jobs/1",
+                             "keyed.jobs/2", "keyed.jobs/3"})
+        http_do({.url = admin("/admin/store?silent_part=") + part});
+    for (int i = 0; i < 9; ++i)
+        submit(job_name(i), 1 + i % 3, 2, 100);
+    for (int i = 0; i < 9; ++i)
+        wait_for("completion", [&] {
+            return state(job_name(i), 1 + (i + 1) % 3) == "completed";
+        });
+    EXPECT_EQ(audit("starts"), 18);
+}
+
+// Failed while a job's progress was dropped and its record was not: the next
+// owner took the job for new.
+TEST_F(front_process_test, forgotten_jobs_do_not_start_again) {
+    state_kept_s_ = 1;
+    for (const auto& [host, pid] : hosts_)
+        end(pid);
+    for (int host = 1; host <= 3; ++host)
+        start_host(host);
+    submit(job_name(1), 1, 3, 50);
+    wait_for("completion",
+             [&] { return state(job_name(1), 2) == "completed"; });
+    wait_for("the job to be forgotten",
+             [&] { return call("GET", job_name(1), 2).status == 410; });
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    for (const auto& [host, pid] : hosts_)
+        end(pid);
+    for (int host = 1; host <= 3; ++host)
+        start_host(host);
+    submit(job_name(2), 2, 1, 50);
+    wait_for("the later job",
+             [&] { return state(job_name(2), 3) == "completed"; });
+    EXPECT_EQ(audit("starts"), 4);
+    EXPECT_EQ(call("GET", job_name(1), 2).status, 410);
+}
+
 TEST_F(front_process_test, a_cancelled_job_is_stopped) {
     submit(job_name(1), 1, 6, 0, true);
     wait_for("all tasks running", [&] { return audit("present") == 6; });
