Leave a busy owner of a large cell alone; make placement rounds cheaper

Change: in cells of more than 12 entry hosts an owner may be silent for 1.3 s, in its first 8 s for 4 s; hosts under half of the strongest wait 3 s more; a host back from a cut waits 1.6 s, as long as a beat that began in it. A step looks only at targets known to be good, and asks about none when no host can ask; rounds take at most half of the owner's time.

--- a/src/dispatch/claim_func.cpp
+++ b/src/dispatch/claim_func.cpp
@@ -11,6 +11,14 @@
 /** A new owner has much to do at first: a claim then would repeat it. */
 constexpr millis SETTLING{4000};
 constexpr millis SETTLING_SILENCE{1500};
+/** The same of a cell with hundreds of targets. */
+constexpr millis LARGE_SILENCE{1300};
+constexpr millis LARGE_SETTLING{8000};
+constexpr millis LARGE_SETTLING_SILENCE{4000};
+/** A weak host would own a large cell only to lose it again. */
+constexpr millis WEAK_DELAY{3000};
+/** A beat that began in a cut is given up after 1.2 s, then another goes. */
+constexpr millis RETURN_TIME{1600};
 constexpr std::int64_t MOST_RANKS = 12; ///< Later ones claim together.
 /** No owner ever: the other hosts have to announce themselves first. */
 constexpr millis FIRST_CLAIM{700};
@@ -29,7 +37,8 @@
 
 /** How long an owner may be silent. */
 millis patience(const claim_view& view) {
-    const millis stagger = RANK_STEP * std::min(view.rank, MOST_RANKS);
+    const millis stagger = RANK_STEP * std::min(view.rank, MOST_RANKS) +
+                           (view.weak ? WEAK_DELAY : millis(0));
     if (view.owner_epoch == 0)
         return FIRST_CLAIM + stagger;
     if (view.owner_resigned)
@@ -41,6 +50,10 @@
     // Its silence has been waited for already, at the store.
     if (view.owner_cut_off && view.store_age < STORE_REACHED)
         return stagger;
+    if (view.large)
+        return stagger + (view.since_change < LARGE_SETTLING
+                              ? LARGE_SETTLING_SILENCE
+                              : LARGE_SILENCE);
     return stagger +
            (view.since_change < SETTLING ? SETTLING_SILENCE : SILENCE);
 }
@@ -55,7 +68,7 @@
     // before says nothing about the owner.
     const bool can_be_heard =
         view.owner_epoch > 0 && !view.owner_resigned && !view.own_earlier_life;
-    if (can_be_heard && view.store_steady < SILENCE)
+    if (can_be_heard && view.store_steady < RETURN_TIME)
         return false;
     return view.owner_silent >= wait;
 }
--- a/src/dispatch/claim_func.hpp
+++ b/src/dispatch/claim_func.hpp
@@ -21,6 +21,8 @@
     millis store_age{0};           ///< Since the store last answered us.
     millis store_steady{0};        ///< Since it began to answer us again.
     std::int64_t rank = 0;         ///< Hosts that claim before this one.
+    bool weak = false;  ///< Under half as strong as the strongest host.
+    bool large = false; ///< The cell: its owner is busy for long at first.
 };
 
 /** Tells whether a host claims the cell now. */
--- a/src/dispatch/owner_base.cpp
+++ b/src/dispatch/owner_base.cpp
@@ -15,6 +15,9 @@
 
 /** Placements of one round share its cost; a check waits no longer. */
 constexpr millis SCHEDULE_PERIOD{8};
+/** A round leaves as much time as it took to answers and beats. */
+constexpr int ROUND_SHARE = 2;
+constexpr millis LONGEST_PERIOD{150};
 constexpr millis SWEEP_PERIOD{1000};
 /** Ended jobs are kept a little longer than callers are promised. */
 constexpr millis KEPT_BEYOND{5000};
@@ -275,7 +278,9 @@
             expire(target, clock);
     if (schedule_due_ && clock.now >= next_schedule_) {
         schedule_due_ = false;
-        next_schedule_ = clock.now + SCHEDULE_PERIOD;
+        next_schedule_ =
+            clock.now + std::clamp(round_cost_ * ROUND_SHARE, SCHEDULE_PERIOD,
+                                   LONGEST_PERIOD);
         schedule(clock);
     }
     send_stops(clock);
--- a/src/dispatch/owner_base.hpp
+++ b/src/dispatch/owner_base.hpp
@@ -86,6 +86,8 @@
     void restore(job_entry job, const owner_clock& clock);
     /** The store has confirmed at `at` that nobody else has claimed. */
     void confirmed(mono_time at);
+    /** The last `tick` took so long: rounds are made seldom enough. */
+    void took(millis duration) { round_cost_ = duration; }
     /** This process stood still: another may have claimed meanwhile. */
     void suspended() { confirmed_at_ = {}; }
     ///@}
@@ -228,6 +230,7 @@
         std::int64_t at_ms = 0; ///< Unix time of the last job.
     };
     std::map<organisation_id, share> shares_;
+    millis round_cost_{0}; ///< Of the last `tick`.
     /** Cancelled before their job came, and when: ways overtake each other. */
     std::map<job_id, std::int64_t> early_cancels_;
     bool storing_ = false;
--- a/src/dispatch/owner_place.cpp
+++ b/src/dispatch/owner_place.cpp
@@ -100,9 +100,10 @@
     usable_.clear();
     largest_room_ = {};
     for (auto& [id, target] : targets_.all()) {
-        if (!target.listed || !target.fenced || !target.answers ||
-            target.entry.draining || now < target.sick_until ||
-            evacuated_.contains(target.entry.data_centre))
+        target.usable = target.listed && target.fenced && target.answers &&
+                        !target.entry.draining && now >= target.sick_until &&
+                        !evacuated_.contains(target.entry.data_centre);
+        if (!target.usable)
             continue;
         usable_.push_back(&target);
         const resources room = target.room();
@@ -227,15 +228,22 @@
 std::vector<target_state*> owner::targets_for(const runnable_step& step,
                                               const owner_clock& clock) {
     std::vector<target_state*> out;
-    const step_advice* advice =
-        step.queue->advice ? &advice_.of(step.ref) : nullptr;
-    if (advice != nullptr && advice->good.empty())
+    const auto take = [&](target_state& target) {
+        if (target.usable && slots(step, target) > 0 && eligible(step, target))
+            out.push_back(&target);
+    };
+    if (!step.queue->advice) {
+        for (target_state* target : usable_)
+            take(*target);
         return out;
-    for (target_state* target : usable_)
-        if (slots(step, *target) > 0 && eligible(step, *target) &&
-            (advice == nullptr ||
-             advice->valid(target->entry.id, clock.now) != nullptr))
-            out.push_back(target);
+    }
+    // In a large cell few targets are known to be good for a step.
+    for (const auto& [id, ticket] : advice_.of(step.ref).good) {
+        if (ticket.expires <= clock.now)
+            continue;
+        if (target_state* target = targets_.find(id))
+            take(*target);
+    }
     return out;
 }
 
@@ -308,7 +316,8 @@
 
 void owner::ask(const runnable_step& step, const owner_clock& clock) {
     step_advice& advice = advice_.of(step.ref);
-    if (advice.asking || clock.now < advice.retry_at)
+    if (advice.asking || clock.now < advice.retry_at ||
+        !advice_.has_lane(advice_length(*step.queue->advice, 1), clock.now))
         return;
     const bool slow = step.queue->advice->decide_ms >=
                       static_cast<double>(advice_book::SLOW_CALL.count());
--- a/src/dispatch/target_book.hpp
+++ b/src/dispatch/target_book.hpp
@@ -59,6 +59,7 @@
     std::int64_t stored_end = 0;  ///< The last one that is in the store.
 
     std::int64_t listed_ms = 0; ///< Its clock at the last list taken in.
+    bool usable = false;        ///< In this round of placement.
     bool fenced = false;        ///< Has listed its runs to this owner.
     bool looking = false;
     bool answers = false; ///< The last look was answered.
--- a/src/front/member_service.cpp
+++ b/src/front/member_service.cpp
@@ -17,10 +17,11 @@
 const std::string OWNER_KEY = "owner";
 const std::string HOST_PREFIX = "host/";
 constexpr millis BEAT_PERIOD{250};
-constexpr millis BEAT_AGAIN{60};     ///< After a beat that failed.
-constexpr millis BEAT_TIME{600};     ///< An answer is given up after this.
-constexpr millis CLAIM_WAIT{400};    ///< A read for claims waits so long.
-constexpr millis MEMBERS_WAIT{3000}; ///< The same for entry hosts.
+constexpr millis BEAT_AGAIN{60};       ///< After a beat that failed.
+constexpr std::size_t LARGE_CELL = 12; ///< Entry hosts.
+constexpr millis BEAT_TIME{1200};      ///< An answer is given up after this.
+constexpr millis CLAIM_WAIT{400};      ///< A read for claims waits so long.
+constexpr millis MEMBERS_WAIT{3000};   ///< The same for entry hosts.
 /** Reads answer sooner than this unless the store is late. */
 constexpr millis STORE_LATE{500};
 constexpr millis STORE_LOST{1000}; ///< Then its return is waited for.
@@ -287,6 +288,13 @@
         heard_ = event_loop::now();
 }
 
+std::int64_t member_service::strongest() const {
+    std::int64_t most = 0;
+    for (const auto& [host, member] : known_)
+        most = std::max(most, member.milli_cores);
+    return most;
+}
+
 std::int64_t member_service::rank() const {
     // The strongest host owns; the others follow in order.
     std::int64_t before_us = 0;
@@ -304,18 +312,20 @@
     if (owns_ || leaving_ || claiming_ || !claims_.loaded())
         return;
     const mono_time now = event_loop::now();
-    const dispatch::claim_view view{.owner_epoch = owner_.epoch,
-                                    .owner_resigned = owner_.address.empty(),
-                                    .own_earlier_life =
-                                        owner_.host == settings_.host &&
-                                        owner_.life != life_,
-                                    .owner_cut_off = cut_off_,
-                                    .owner_silent = owner_age(),
-                                    .since_change = now - changed_at_,
-                                    .refused = refused_,
-                                    .store_age = store_age(),
-                                    .store_steady = now - store_back_,
-                                    .rank = rank()};
+    const dispatch::claim_view view{
+        .owner_epoch = owner_.epoch,
+        .owner_resigned = owner_.address.empty(),
+        .own_earlier_life =
+            owner_.host == settings_.host && owner_.life != life_,
+        .owner_cut_off = cut_off_,
+        .owner_silent = owner_age(),
+        .since_change = now - changed_at_,
+        .refused = refused_,
+        .store_age = store_age(),
+        .store_steady = now - store_back_,
+        .rank = rank(),
+        .weak = settings_.milli_cores * 2 < strongest(),
+        .large = known_.size() > LARGE_CELL};
     if (dispatch::claim_due(view))
         claim();
 }
--- a/src/front/member_service.hpp
+++ b/src/front/member_service.hpp
@@ -83,6 +83,8 @@
     void claim();
     /** Hosts that claim before this one. */
     [[nodiscard]] std::int64_t rank() const;
+    /** Processor time of the strongest host, in thousandths of a core. */
+    [[nodiscard]] std::int64_t strongest() const;
     /** Longest time lately between answers of the store. */
     [[nodiscard]] millis worst_gap() const;
 
--- a/src/front/owner_service.cpp
+++ b/src/front/owner_service.cpp
@@ -315,7 +315,9 @@
 void owner_service::tick() {
     tick_scheduled_ = false;
     context_.delegates.set_targets(owner_.targets().all().size());
+    const mono_time begun = event_loop::now();
     owner_.tick(clock());
+    owner_.took(event_loop::now() - begun);
     if (owner_.deposed())
         return context_.members.deposed();
     arm();
