--- a/src/dispatch/claim_func.cpp
+++ b/src/dispatch/claim_func.cpp
@@ -17,8 +17,8 @@
 constexpr millis LARGE_SETTLING_SILENCE{4000};
 /** A weak host would own a large cell only to lose it again. */
 constexpr millis WEAK_DELAY{3000};
-/** A beat that began in a cut is given up after 1.2 s, then another goes. */
-constexpr millis RETURN_TIME{1600};
+/** A host back from a cut beats anew at once; many times a way and back. */
+constexpr millis RETURN_TIME{600};
 constexpr std::int64_t MOST_RANKS = 12; ///< Later ones claim together.
 /** No owner ever: the other hosts have to announce themselves first. */
 constexpr millis FIRST_CLAIM{700};
--- a/src/front/member_service.cpp
+++ b/src/front/member_service.cpp
@@ -83,10 +83,22 @@
     if (now - store_heard_ > STORE_LOST) {
         store_back_ = now;
         refused_ = 0;
+        ask_owner_anew();
     }
     store_heard_ = now;
 }
 
+void member_service::ask_owner_anew() {
+    if (owns_ || owner_.address.empty())
+        return;
+    // Behind a cut the connection may be dead, and a beat on it would be
+    // waited for in vain.
+    loop_.defer([this, address = owner_.address] {
+        peer(address).reset();
+        beat();
+    });
+}
+
 void member_service::probe_store() {
     if (std::exchange(probing_, true))
         return;
--- a/src/front/member_service.hpp
+++ b/src/front/member_service.hpp
@@ -74,6 +74,8 @@
     void announce();
     void beat();
     void beat_answered(const rpc_answer& answer);
+    /** Beats to the owner on a new connection. */
+    void ask_owner_anew();
     /** Asks the store for any answer, when none came for long. */
     void probe_store();
     /** Asks other hosts whether they reach the store. */
--- a/src/net/rpc_client.hpp
+++ b/src/net/rpc_client.hpp
@@ -63,6 +63,11 @@
 
     /** Lets the next call connect at once, whatever failed before. */
     void retry_now() { next_attempt_ = {}; }
+    /** Gives up the connection; calls without an answer end now. */
+    void reset() {
+        drop_connection();
+        retry_now();
+    }
 
     /** Answers that came when nobody waited for them any more. */
     [[nodiscard]] std::uint64_t late_answers() const { return late_; }
