Count runs of ended jobs over a takeover

Change: a job that ended within 30 s is loaded whole; a run of unknown size takes the whole target until it is gone.

--- a/src/dispatch/owner_look.cpp
+++ b/src/dispatch/owner_look.cpp
@@ -217,14 +217,16 @@
     const job_entry* job = jobs_.find(listed.task.step.job);
     output_.log("run_unknown", listed.task.step.job,
                 "target=" + target.entry.id.value);
-    targets_.add_run(target, listed.task,
-                     {.run = listed.run,
-                      .phase = run_phase::stopping,
-                      .each = spec != nullptr ? spec->each : resources{},
-                      .filling = spec != nullptr && spec->filling,
-                      .organisation = job != nullptr ? job->record.organisation
-                                                     : organisation_id{},
-                      .since = clock.now});
+    targets_.add_run(
+        target, listed.task,
+        {.run = listed.run,
+         .phase = run_phase::stopping,
+         // Of unknown size: nothing else may start there.
+         .each = spec != nullptr ? spec->each : target.entry.capacity,
+         .filling = spec != nullptr && spec->filling,
+         .organisation =
+             job != nullptr ? job->record.organisation : organisation_id{},
+         .since = clock.now});
 }
 
 void owner::note_progress(target_state& target, run_entry& run,
--- a/src/dispatch/record_codec.cpp
+++ b/src/dispatch/record_codec.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+/** Stops and leases have ended so long after a job, with room to spare. */
+constexpr millis RUNS_GONE{30'000};
+
 /** Runs a decoder and gives its failures our type. */
 template <typename Decode>
 auto decoding(const char* what, const std::string& text, Decode decode) {
@@ -133,15 +136,18 @@
     });
 }
 
-std::optional<job_entry> decode_ended(const job_id& id,
-                                      const std::string& text) {
+std::optional<job_entry> decode_ended(const job_id& id, const std::string& text,
+                                      std::int64_t wall_ms) {
     return decoding("progress", text, [&](const json& in) {
         job_entry job{
             .record = {.id = id,
                        .organisation = in.at(5).get<organisation_id>()},
             .state = static_cast<job_state>(in.at(0).get<int>()),
             .ended_ms = in.at(1).get<std::int64_t>()};
-        return job.ended() ? std::optional(std::move(job)) : std::nullopt;
+        // Runs of one that ended just now may still be there, and count.
+        const bool long_over =
+            job.ended() && job.ended_ms + RUNS_GONE.count() < wall_ms;
+        return long_over ? std::optional(std::move(job)) : std::nullopt;
     });
 }
 
--- a/src/dispatch/record_codec.hpp
+++ b/src/dispatch/record_codec.hpp
@@ -21,11 +21,11 @@
 job_state decode_progress_state(const std::string& text);
 
 /**
- * What is shown of a job that has ended, from its progress alone.
- * @return Nothing when it has not ended. @throw decode_error.
+ * What is shown of a job that ended a while ago, from its progress alone.
+ * @return Nothing when its runs may still count. @throw decode_error.
  */
-std::optional<job_entry> decode_ended(const job_id& id,
-                                      const std::string& text);
+std::optional<job_entry> decode_ended(const job_id& id, const std::string& text,
+                                      std::int64_t wall_ms);
 
 /** Puts progress onto a freshly accepted job. @throw decode_error. */
 void apply_progress(job_entry& job, const std::string& text);
--- a/src/front/owner_service.cpp
+++ b/src/front/owner_service.cpp
@@ -211,7 +211,8 @@
     try {
         // Most jobs have ended: their records need not be read.
         if (progress != loaded_progress_.end())
-            if (auto ended = decode_ended(id, progress->second.value))
+            if (auto ended =
+                    decode_ended(id, progress->second.value, at.wall_ms))
                 return owner_.restore(std::move(*ended), at);
         job_entry job{.record = decode_job_record(record)};
         if (progress != loaded_progress_.end())
--- a/tests/dispatch_load_test.cpp
+++ b/tests/dispatch_load_test.cpp
@@ -256,6 +256,27 @@
     EXPECT_EQ(cell->result("checks").ended, 20);
 }
 
+// Runs of a cancelled job outlast a takeover: they still take room. Failed
+// while ended jobs were restored without the size of their tasks.
+TEST(dispatch_load, takeover_counts_runs_of_ended_jobs) {
+    for (const int wait_s : {1, 60}) {
+        auto cell = make_world(76);
+        job_spec big = lasting_job(48);
+        big.steps[0].each.milli_cores = 14'000;
+        const job_id job = cell->submit("checks", "a", big);
+        cell->run_until(millis(5000));
+        ASSERT_EQ(cell->running(job), 48U);
+        cell->ignore_stops(true);
+        cell->decisions().cancelled(job, cell->clock());
+        cell->run_until(millis(5000 + wait_s * 1000));
+        cell->restart_owner();
+        const millis now(5000 + wait_s * 1000);
+        cell->submit_from(checks(), "a", now, now + millis(4000), 6);
+        cell->run_until(now + millis(5000));
+        EXPECT_EQ(cell->overcommitted_starts(), 0) << wait_s << " s";
+    }
+}
+
 // A cancel comes directly, its job through the slower log. Failed while a
 // cancel of an unknown job was forgotten.
 TEST(dispatch_load, cancel_that_overtakes_its_job_stops_it) {
--- a/tests/dispatch_world.cpp
+++ b/tests/dispatch_world.cpp
@@ -301,7 +301,7 @@
         fake_target& target =
             targets_[static_cast<size_t>(index_of(address.id))];
         order_answer answer{.sent = true};
-        if (!target.silent && fence >= target.fence) {
+        if (!target.silent && fence >= target.fence && !ignore_stops_) {
             answer.answered = true;
             answer.done = true;
             target.closed[task] = std::max(target.closed[task], run);
@@ -466,8 +466,14 @@
     for (const auto& [id, record] : accepted_) {
         job_entry job{.record = record};
         const auto progress = stored_.find(progress_key(id));
-        if (progress != stored_.end())
+        if (progress != stored_.end()) {
+            if (auto ended =
+                    decode_ended(id, progress->second, clock().wall_ms)) {
+                owner_->restore(std::move(*ended), clock());
+                continue;
+            }
             apply_progress(job, progress->second);
+        }
         owner_->restore(std::move(job), clock());
     }
     owner_->take_over(clock());
--- a/tests/dispatch_world.hpp
+++ b/tests/dispatch_world.hpp
@@ -80,6 +80,8 @@
     void lose_start_answers(bool lose) { lose_answers_ = lose; }
     /** This share of the starts has no answer and arrives 3 s later. */
     void delay_starts(double share) { late_share_ = share; }
+    /** Orders to stop have no answer and no effect. */
+    void ignore_stops(bool ignore) { ignore_stops_ = ignore; }
     /** Another owner takes over from what the store holds. */
     void restart_owner();
     void set_store_down(bool down);
@@ -185,6 +187,7 @@
     bool store_down_ = false;
     bool lose_answers_ = false;
     double late_share_ = 0;
+    bool ignore_stops_ = false;
     std::map<task_id, double> slow_tasks_;
     bool tick_pending_ = false;
     std::int64_t tick_at_ = 0;
