--- a/src/dispatch/owner_look.cpp
+++ b/src/dispatch/owner_look.cpp
@@ -227,6 +227,7 @@
          .organisation =
              job != nullptr ? job->record.organisation : organisation_id{},
          .since = clock.now});
+    to_stop_.emplace(target.entry.id, listed.task);
 }
 
 void owner::note_progress(target_state& target, run_entry& run,
--- a/tests/dispatch_load_test.cpp
+++ b/tests/dispatch_load_test.cpp
@@ -256,6 +256,19 @@
     EXPECT_EQ(cell->result("checks").ended, 20);
 }
 
+// Targets run what no job accounts for. Failed: such runs were counted as being
+// stopped, and no stop was ever sent.
+TEST(dispatch_load, runs_of_unknown_jobs_are_stopped) {
+    auto cell = make_world(77);
+    const job_id job = cell->submit("checks", "a", lasting_job(12));
+    cell->run_until(millis(4000));
+    ASSERT_EQ(cell->running(job), 12U);
+    cell->lose_job(job);
+    cell->restart_owner();
+    cell->run_until(millis(8000));
+    EXPECT_EQ(cell->running(job), 0U);
+}
+
 // Runs of a cancelled job outlast a takeover: they still take room. Failed
 // while ended jobs were restored without the size of their tasks.
 TEST(dispatch_load, takeover_counts_runs_of_ended_jobs) {
--- a/tests/dispatch_world.hpp
+++ b/tests/dispatch_world.hpp
@@ -85,6 +85,11 @@
     /** Another owner takes over from what the store holds. */
     void restart_owner();
     void set_store_down(bool down);
+    /** Nothing of a job is kept any more; what runs of it runs on. */
+    void lose_job(const job_id& job) {
+        accepted_.erase(job);
+        stored_.erase(progress_key(job));
+    }
     ///@}
 
     [[nodiscard]] kind_result result(const std::string& queue) const;
