--- a/tests/dispatch_load_test.cpp
+++ b/tests/dispatch_load_test.cpp
@@ -164,7 +164,7 @@
     EXPECT_GE(share_in_time(cell->result("checks")), TARGET_SHARE);
 }
 
-// One target in six works seven times slower for a while. Failed (0.78) while
+// One target in six works seven times slower for a while. Failed while
 // a target was judged by failures alone.
 TEST(dispatch_load, slow_targets_are_left) {
     auto cell = make_world(45);
