Copy job states on two hosts of a data centre only

Cause: while the owner is silent, or reports that it has lost the store, every host read all jobs and their progress from the store. They missed heartbeats while they read, kept reading, and claimed ownership with processes too weak to load the cell: no owner served from 27 to 48 s.

Change: the two strongest hosts of each data centre keep a copy; others ask one of them (READ_STATE), which answers from the copy or through the owner. An owner that answers without the store is still asked; one without the store for a second does not call a job unknown. CALL was registered twice.

--- a/proto/rattan.thrift
+++ b/proto/rattan.thrift
@@ -17,7 +17,8 @@
     ADVISE = 10,   // entry host: ask the advice service for the owner
     STORE = 11,    // entry host: append a record for a sender that can't
     CALL = 12,     // entry host: call a target for the owner
-    STORED = 13    // owner: a job record that the sender has stored
+    STORED = 13,   // owner: a job record that the sender has stored
+    READ_STATE = 14 // state reader: state of a job, for a host without owner
 }
 
 enum status {
--- a/src/front/front_service.cpp
+++ b/src/front/front_service.cpp
@@ -1,6 +1,7 @@
 #include "front/front_service.hpp"
 
 #include "base/log_func.hpp"
+#include "dispatch/reader_func.hpp"
 #include "dispatch/route_func.hpp"
 #include "net/program_runtime.hpp"
 #include "net/thrift_codec.hpp"
@@ -20,8 +21,6 @@
 
 constexpr int METRICS_PORT = 9464; ///< Must match the deployment file.
 constexpr millis OWNER_CALL_TIMEOUT{700};
-/** After this time without the owner, job states are read from the store. */
-constexpr millis OWNER_SILENT_AGE{600};
 /** If the owner has answered within this time, it is asked again. */
 constexpr millis OWNER_HEARD_AGE{300};
 constexpr millis CHECK_PERIOD{200};
@@ -221,7 +220,6 @@
                        wire_encode(reply));
             });
     });
-    delegate_service::register_call_method(*rpc_server_, http_);
     rpc_server_->on(wire::method::STORE, [this](const std::string& body,
                                                 rpc_server::responder answer) {
         const auto request = wire_decode<wire::store_request>(body);
@@ -244,16 +242,16 @@
             {.key = request.key, .value = request.value});
         answer(wire::status::OK, "");
     });
-    rpc_server_->on(wire::method::JOB_STATE, [this](const std::string& body,
-                                                    const auto& answer) {
-        const auto request = wire_decode<wire::job_state_request>(body);
-        if (!owner_ || !owner_->serving())
-            return answer(wire::status::UNAVAILABLE, "");
-        wire::job_state_reply reply;
-        reply.state = static_cast<std::int32_t>(owner_->decisions().state_of(
-            {request.job}, {request.organisation}));
-        answer(wire::status::OK, wire_encode(reply));
-    });
+    rpc_server_->on(
+        wire::method::JOB_STATE,
+        [this](const std::string& body, const rpc_server::responder& answer) {
+            answer_job_state(body, answer);
+        });
+    rpc_server_->on(
+        wire::method::READ_STATE,
+        [this](const std::string& body, const rpc_server::responder& answer) {
+            answer_read_state(body, answer);
+        });
     rpc_server_->on(wire::method::WAITING, [this](const std::string& body,
                                                   const auto& answer) {
         const auto request = wire_decode<wire::waiting_request>(body);
@@ -335,60 +333,16 @@
 
 void front_service::run_periodic_checks() {
     shed_idle_connections();
-    const bool needed = !owner_ && members_.owner_age() > OWNER_SILENT_AGE;
+    const bool needed =
+        owner_silent() && is_state_reader(members_.members(), settings_.host);
     if (needed && !state_reader_)
         state_reader_ = std::make_unique<state_reader>(
             loop_, store_, settings_.store_partitions);
-    else if (!needed && state_reader_ && members_.owner_age() < OWNER_HEARD_AGE)
+    else if (!needed && state_reader_ &&
+             members_.owner_reply_age() < OWNER_HEARD_AGE)
         state_reader_.reset();
 }
 
-void front_service::reply_current_state(
-    const std::shared_ptr<pending_request>& pending) {
-    if (owner_ && owner_->serving())
-        return reply_state(pending, owner_->decisions().state_of(
-                                        pending->job, pending->organisation));
-    const std::string& address = members_.owner().address;
-    if (owner_ || address.empty() || state_reader_)
-        return reply_stored_state(pending);
-    wire::job_state_request request;
-    request.job = pending->job.value;
-    request.organisation = pending->organisation.value;
-    members_.peer(address).call(
-        wire::method::JOB_STATE, wire_encode(request), OWNER_CALL_TIMEOUT,
-        [this, pending](const rpc_call_result& answer) {
-            if (!answer.ok())
-                return reply_stored_state(pending);
-            const auto reply = wire_decode<wire::job_state_reply>(answer.body);
-            reply_state(pending, static_cast<job_state>(reply.state));
-        });
-}
-
-void front_service::reply_stored_state(
-    const std::shared_ptr<pending_request>& pending) {
-    const job_state state =
-        state_reader_ && state_reader_->loaded()
-            ? state_reader_->state_of(pending->job, pending->organisation)
-            : job_state::unknown;
-    // The copy lags behind the store: a job that it lacks may exist.
-    if (state == job_state::unknown) {
-        http_response reply = status_reply(503);
-        reply.close = !can_store();
-        return pending->answer(reply);
-    }
-    reply_state(pending, state);
-}
-
-void front_service::reply_state(const std::shared_ptr<pending_request>& pending,
-                                job_state state) {
-    if (state == job_state::unknown) {
-        log_event(log_level::info, "job_not_known",
-                  {{"job", pending->job.value}});
-        return pending->answer(status_reply(410));
-    }
-    pending->answer({.body = platform::encode_job_state(state)});
-}
-
 void front_service::reply_waiting_count(
     const std::shared_ptr<pending_request>& pending) {
     if (owner_ && owner_->serving())
--- a/src/front/front_service.hpp
+++ b/src/front/front_service.hpp
@@ -13,6 +13,7 @@
 #include "platform/platform_settings.hpp"
 
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -56,10 +57,33 @@
     void handle_request(const http_request& request,
                         const http_server::responder& answer);
     void submit(const std::shared_ptr<pending_request>& pending);
+    // front_state.cpp
     /** Replies with a job's state, from the owner if it can be asked. */
     void reply_current_state(const std::shared_ptr<pending_request>& pending);
-    /** Replies with a job's state as read from the store. */
-    void reply_stored_state(const std::shared_ptr<pending_request>& pending);
+    /**
+     * Asks a host that reads job states from the store; replies 503 if none
+     * knows the job. @param attempt Number of hosts asked so far.
+     */
+    void ask_state_reader(const std::shared_ptr<pending_request>& pending,
+                          std::size_t attempt);
+    void reply_state(const std::shared_ptr<pending_request>& pending,
+                     dispatch::job_state state);
+    /** Answers `JOB_STATE` as the owner. */
+    void answer_job_state(const std::string& body,
+                          const rpc_server::responder& answer);
+    /** Answers `READ_STATE`, from the stored states or through the owner. */
+    void answer_read_state(const std::string& body,
+                           const rpc_server::responder& answer);
+    /**
+     * State of a job as far as this host knows it: as the owner, or from the
+     * store. A job that is missing in a copy that may lag is not known.
+     */
+    [[nodiscard]] std::optional<dispatch::job_state>
+    known_state(const job_id& job,
+                const dispatch::organisation_id& organisation) const;
+    /** Tells whether the owner, another host, does not answer at all. */
+    [[nodiscard]] bool owner_silent() const;
+
     void cancel(const std::shared_ptr<pending_request>& pending);
     void reply_waiting_count(const std::shared_ptr<pending_request>& pending);
     /** Writes a client's record directly or, if needed, through a peer. */
@@ -82,8 +106,6 @@
      * owner does not answer, and stops when it answers again.
      */
     void run_periodic_checks();
-    void reply_state(const std::shared_ptr<pending_request>& pending,
-                     dispatch::job_state state);
 
     void handle_operator_record(const platform::keyed_record& record);
     /** Drops evacuations whose records are not in the loaded snapshot. */
--- a/src/front/member_service.cpp
+++ b/src/front/member_service.cpp
@@ -68,6 +68,7 @@
 void member_service::start() {
     started_ = event_loop::now();
     owner_answered_at_ = started_;
+    owner_replied_at_ = started_;
     register_host();
     member_follower_.start();
     claim_follower_.start();
@@ -208,6 +209,7 @@
                {"host", owner.host.value},
                {"resigned", owner.address.empty() ? "yes" : "no"}});
     owner_answered_at_ = event_loop::now();
+    owner_replied_at_ = owner_answered_at_;
     owner_changed_at_ = owner_answered_at_;
     owner_lost_store_ = false;
     refused_connections_ = 0;
@@ -239,6 +241,10 @@
     return is_owner_ ? millis(0) : event_loop::now() - owner_answered_at_;
 }
 
+millis member_service::owner_reply_age() const {
+    return is_owner_ ? millis(0) : event_loop::now() - owner_replied_at_;
+}
+
 std::vector<std::string> member_service::write_peers() const {
     std::vector<dispatch::peer_view> peers;
     const mono_time now = event_loop::now();
@@ -310,6 +316,7 @@
     if (reply.epoch < owner_.epoch || reply.owner_address != owner_.address)
         return;
     handle_peer_reply(owner_.address, answer);
+    owner_replied_at_ = event_loop::now();
     // An owner that can't reach the store can't start any runs.
     owner_lost_store_ =
         dispatch::has_lost_store(millis(reply.store_age_ms), max_store_gap());
--- a/src/front/member_service.hpp
+++ b/src/front/member_service.hpp
@@ -66,6 +66,11 @@
      * host is the owner.
      */
     [[nodiscard]] millis owner_age() const;
+    /**
+     * Time since the owner last replied, whether or not it reached the store;
+     * 0 if this host is the owner.
+     */
+    [[nodiscard]] millis owner_reply_age() const;
     /** All registered entry hosts. */
     [[nodiscard]] const std::map<host_id, dispatch::member_record>&
     members() const {
@@ -126,7 +131,8 @@
     std::map<host_id, dispatch::member_record> member_records_;
     std::map<std::string, std::unique_ptr<rpc_client>> peers_;
     dispatch::owner_record owner_;
-    mono_time owner_answered_at_{};
+    mono_time owner_answered_at_{}; ///< Last reply of an owner with the store.
+    mono_time owner_replied_at_{};
     bool owner_lost_store_ = false; ///< According to its last reply.
     mono_time started_{};
     mono_time store_answered_at_{};
