Let weak hosts of a large cell leave ownership to strong ones

Cause: after a data centre came back, weak hosts counted the silence of the owner from before their return and claimed; all processes were killed next, and the restarted weak host claimed at once again.

Change: a weak host of a large cell claims 6 s (before: 3 s) after a strong one would, and counts silence only since its own store came back. If it was the owner before its restart it resigns, since its new process answers heartbeats at the owner's address.

--- a/src/dispatch/claim_func.cpp
+++ b/src/dispatch/claim_func.cpp
@@ -20,9 +20,10 @@
 constexpr millis LARGE_CELL_NEW_OWNER_PERIOD{8000};
 constexpr millis LARGE_CELL_NEW_OWNER_TIMEOUT{4000};
 /**
- * A host with few cores would soon lose the ownership of a large cell again.
+ * A host with few cores takes seconds to load a large cell, and is late itself
+ * when it misses replies. It claims only if no strong host does.
  */
-constexpr millis LOW_CAPACITY_DELAY{3000};
+constexpr millis LOW_CAPACITY_DELAY{6000};
 /**
  * A host that comes back from a network partition sends a heartbeat at once and
  * waits this long for the owner's reply; it is many times a round trip.
@@ -57,6 +58,11 @@
 /** Reads wait up to 0.4 s at the store; this adds half of that. */
 constexpr millis STORE_TIMEOUT{600};
 
+/** Tells whether a strong host of a large cell should claim instead. */
+bool yields_to_strong_hosts(const claim_view& view) {
+    return view.low_capacity && view.large_cell;
+}
+
 /** Silence of the owner after which this host claims. */
 millis required_silence(const claim_view& view) {
     const millis stagger =
@@ -96,9 +102,16 @@
                                   !view.own_previous_incarnation;
     if (owner_may_answer && view.store_reachable_for < RECONNECT_GRACE)
         return false;
+    if (owner_may_answer && yields_to_strong_hosts(view))
+        return std::min(view.owner_silence, view.store_reachable_for) >=
+               silence_limit;
     return view.owner_silence >= silence_limit;
 }
 
+bool resigns_instead(const claim_view& view) {
+    return view.own_previous_incarnation && yields_to_strong_hosts(view);
+}
+
 bool has_lost_store(millis owner_store_age, millis longest_gap) {
     return owner_store_age >= std::max(OWNER_STORE_TIMEOUT,
                                        longest_gap * OWNER_STORE_TIMEOUT_GAPS);
--- a/src/dispatch/claim_func.hpp
+++ b/src/dispatch/claim_func.hpp
@@ -40,6 +40,12 @@
 /** Tells whether the host claims ownership now. */
 bool claim_due(const claim_view& view);
 
+/**
+ * Tells whether a host whose claim is due resigns the ownership of its earlier
+ * process instead, so that a strong host claims.
+ */
+bool resigns_instead(const claim_view& view);
+
 /**
  * Tells whether the owner has lost a store that this host can reach.
  * @param owner_store_age Time since the store last answered the owner.
--- a/src/front/member_service.cpp
+++ b/src/front/member_service.cpp
@@ -363,7 +363,11 @@
         .rank = claim_rank(),
         .low_capacity = settings_.milli_cores * 2 < max_milli_cores(),
         .large_cell = member_records_.size() > MAX_SMALL_CELL_HOSTS};
-    if (dispatch::claim_due(view))
+    if (!dispatch::claim_due(view))
+        return;
+    if (dispatch::resigns_instead(view))
+        append_resignation();
+    else
         append_claim();
 }
 
@@ -405,6 +409,11 @@
         return;
     is_owner_ = false;
     callbacks_.ownership_lost();
+    append_resignation();
+}
+
+void member_service::append_resignation() {
+    claim_pending_ = true;
     const owner_record resignation{.epoch = owner_.epoch,
                                    .host = settings_.host,
                                    .address = "",
@@ -414,7 +423,7 @@
                                 .value = dispatch::encode_owner(resignation)}},
                    .expected_end = claim_follower_.next_offset(),
                    .timeout = APPEND_TIMEOUT},
-                  [](const append_answer&) {});
+                  [this](const append_answer&) { claim_pending_ = false; });
 }
 
 } // namespace rattan::front
--- a/src/front/member_service.hpp
+++ b/src/front/member_service.hpp
@@ -106,6 +106,8 @@
                            const rpc_call_result& answer);
     void claim_if_due();
     void append_claim();
+    /** Records that the cell has no owner. */
+    void append_resignation();
     /** Number of hosts that claim before this one. */
     [[nodiscard]] std::int64_t claim_rank() const;
     /** CPU capacity of the strongest host. */
--- a/tests/claim_func_test.cpp
+++ b/tests/claim_func_test.cpp
@@ -104,6 +104,37 @@
     EXPECT_FALSE(claim_due(view)) << "stronger hosts come first";
 }
 
+// A data centre returns from a partition; its weak hosts need seconds to
+// answer. Guards against counting the silence from before their return: one of
+// them claimed, and no owner served for eleven seconds.
+TEST(claim, weak_hosts_that_return_wait_for_strong_ones) {
+    claim_view view = healthy_view();
+    view.large_cell = true;
+    view.low_capacity = true;
+    view.owner_silence = millis(20'000);
+    view.store_reachable_for = millis(3000);
+    EXPECT_FALSE(claim_due(view));
+    view.store_reachable_for = millis(20'000);
+    EXPECT_TRUE(claim_due(view));
+    view.owner_silence = millis(6000);
+    EXPECT_FALSE(claim_due(view));
+}
+
+// All processes were killed; the owner's host was a weak one. Guards against
+// taking the cell over again there, and against leaving it without an owner:
+// the new process answers heartbeats at the owner's address.
+TEST(claim, restarted_weak_owner_resigns) {
+    claim_view view = healthy_view();
+    view.own_previous_incarnation = true;
+    EXPECT_TRUE(claim_due(view));
+    EXPECT_FALSE(resigns_instead(view));
+    view.large_cell = true;
+    EXPECT_FALSE(resigns_instead(view));
+    view.low_capacity = true;
+    EXPECT_TRUE(claim_due(view));
+    EXPECT_TRUE(resigns_instead(view));
+}
+
 TEST(claim, write_peers_reach_the_store) {
     const auto peers = usable_write_peers(
         {{.address = "near", .same_data_centre = true},
