--- a/src/front/front_service.cpp
+++ b/src/front/front_service.cpp
@@ -1,6 +1,7 @@
 #include "front/front_service.hpp"
 
 #include "base/log_func.hpp"
+#include "dispatch/partition_func.hpp"
 #include "dispatch/reader_func.hpp"
 #include "dispatch/route_func.hpp"
 #include "net/program_runtime.hpp"
@@ -34,13 +35,26 @@
 /** Twice this number of descriptors is not available to clients. */
 constexpr std::size_t RESERVED_DESCRIPTORS = 300;
 constexpr unsigned CLIENT_IDLE_TIMEOUT_S = 30;
-/** The owner has 12 long polls pending, besides appends and loads. */
-constexpr long MAX_STORE_CONNECTIONS = 40;
+/**
+ * The owner has a long poll pending on each partition of jobs and four others,
+ * besides appends and loads.
+ */
+constexpr long MAX_STORE_CONNECTIONS = 64;
 
-/** Spreads the hosts over the partitions of the jobs topic. */
-int first_partition(const host_id& host) {
-    return static_cast<int>(XXH64(host.value.data(), host.value.size(), 0) %
-                            MAX_JOB_PARTITIONS);
+int job_partitions(const platform::platform_settings& settings) {
+    return job_partition_count(settings.store_partitions,
+                               settings.max_writes_per_s);
+}
+
+/**
+ * Spreads the hosts over the partitions of the jobs topic, so that a slow
+ * partition delays few hosts.
+ */
+int first_partition(const platform::platform_settings& settings) {
+    const std::string& host = settings.host.value;
+    return static_cast<int>(
+        XXH64(host.data(), host.size(), 0) %
+        static_cast<std::uint64_t>(job_partitions(settings)));
 }
 
 } // namespace
@@ -93,9 +107,8 @@
           }),
       job_writer_(loop, store_,
                   {.topic = JOBS_TOPIC,
-                   .partitions =
-                       std::min(settings.store_partitions, MAX_JOB_PARTITIONS),
-                   .first_partition = first_partition(settings.host),
+                   .partitions = job_partitions(settings),
+                   .first_partition = first_partition(settings),
                    .producer = settings.host.value + "/" +
                                std::to_string(incarnation_)}) {
     job_writer_.on_answered([this] { members_.store_answered(); });
@@ -337,7 +350,8 @@
         owner_silent() && is_state_reader(members_.members(), settings_.host);
     if (needed && !state_reader_)
         state_reader_ = std::make_unique<state_reader>(
-            loop_, store_, settings_.store_partitions);
+            loop_, store_, job_partitions(settings_),
+            std::min(settings_.store_partitions, MAX_PROGRESS_PARTITIONS));
     else if (!needed && state_reader_ &&
              members_.owner_reply_age() < OWNER_HEARD_AGE)
         state_reader_.reset();
--- a/src/front/owner_service.cpp
+++ b/src/front/owner_service.cpp
@@ -1,6 +1,7 @@
 #include "front/owner_service.hpp"
 
 #include "base/log_func.hpp"
+#include "dispatch/partition_func.hpp"
 #include "net/program_runtime.hpp"
 #include "net/thrift_codec.hpp"
 #include "platform/wire_codec.hpp"
@@ -116,8 +117,8 @@
 }
 
 void owner_service::follow_jobs() {
-    const int partitions =
-        std::min(context_.settings.store_partitions, MAX_JOB_PARTITIONS);
+    const int partitions = job_partition_count(
+        context_.settings.store_partitions, context_.settings.max_writes_per_s);
     fast_read_until_.resize(static_cast<std::size_t>(partitions));
     for (int partition = 0; partition < partitions; ++partition)
         job_followers_.push_back(std::make_unique<topic_follower>(
--- a/src/front/owner_service.hpp
+++ b/src/front/owner_service.hpp
@@ -17,11 +17,6 @@
 
 /** Topic of accepted jobs and cancellations. */
 inline const std::string JOBS_TOPIC = "keyed.jobs";
-/**
- * Partitions used of that topic. The hosts' first partitions are spread by a
- * hash, so that a slow partition delays few hosts.
- */
-constexpr int MAX_JOB_PARTITIONS = 8;
 /** Partitions used of the progress topic; if one fails, the other is used. */
 constexpr int MAX_PROGRESS_PARTITIONS = 2;
 
--- a/src/front/state_reader.cpp
+++ b/src/front/state_reader.cpp
@@ -20,11 +20,10 @@
 } // namespace
 
 state_reader::state_reader(event_loop& loop, platform::store_client& store,
-                           int store_partitions) {
+                           int job_partitions, int progress_partitions) {
     const auto follow = [&](const std::string& topic, int partitions,
                             auto on_record) {
-        for (int partition = 0;
-             partition < std::min(store_partitions, partitions); ++partition)
+        for (int partition = 0; partition < partitions; ++partition)
             followers_.push_back(std::make_unique<topic_follower>(
                 loop, store,
                 follow_options{.topic = topic,
@@ -32,10 +31,10 @@
                                .read_delay = READ_DELAY},
                 on_record, [](const std::set<std::string>&) {}));
     };
-    follow(JOBS_TOPIC, MAX_JOB_PARTITIONS,
+    follow(JOBS_TOPIC, job_partitions,
            [this](const keyed_record& record) { handle_job_record(record); });
     follow(
-        PROGRESS_TOPIC, MAX_PROGRESS_PARTITIONS,
+        PROGRESS_TOPIC, progress_partitions,
         [this](const keyed_record& record) { handle_progress_record(record); });
     for (const auto& follower : followers_)
         follower->start();
--- a/src/front/state_reader.hpp
+++ b/src/front/state_reader.hpp
@@ -13,9 +13,9 @@
 /** Follows the topics of accepted jobs and of their progress. */
 class state_reader {
 public:
-    /** @param store_partitions Number of partitions of each topic. */
+    /** Both numbers are of partitions, of jobs and of their progress. */
     state_reader(event_loop& loop, platform::store_client& store,
-                 int store_partitions);
+                 int job_partitions, int progress_partitions);
 
     /** Tells whether the snapshots of all partitions have been read. */
     [[nodiscard]] bool loaded() const;
