--- a/src/dispatch/advice_table.hpp
+++ b/src/dispatch/advice_table.hpp
@@ -53,14 +53,15 @@
  * Assigns calls of the advice service to hosts and keeps the answers. A slow
  * call would delay the quick calls queued behind it on the same host by up to a
  * second, and quick calls in a backlog would leave no host idle for a slow one.
- * So a third of the hosts takes only quick calls, and another third at most one
- * of them at a time.
+ * So a third of the hosts takes only quick calls. Of nine hosts or more,
+ * another third takes at most one of them at a time.
  */
 class advice_table {
 public:
     /**
-     * Sets the hosts. The roles alternate, so that the hosts of one data centre
-     * have different ones; a single host takes all calls.
+     * Sets the hosts. Of nine or more, the roles alternate, so that the hosts
+     * of one data centre have different ones; of fewer, the first third takes
+     * only quick calls. A single host takes all calls.
      */
     void set_hosts(const std::vector<host_id>& hosts);
 
@@ -112,7 +113,6 @@
     [[nodiscard]] int max_calls(std::size_t host, bool slow) const;
     /** The least busy host that may take a call, or null. */
     advice_host* find_host(millis duration, mono_time now);
-
     /** Notes that the pending call of a step has ended. */
     void end_call(step_advice& step);
 
