Call a job unknown only after a recent read of every partition

The owner took any answer of the store as a sign that it knew all jobs.

Change: the owner says that there is no such job only if the last answered read of each partition of jobs was sent within 2.8 s; otherwise callers get 503. Its long polls of jobs last 1 s, so that this holds while nothing fails.

--- a/src/dispatch/reader_func.cpp
+++ b/src/dispatch/reader_func.cpp
@@ -9,6 +9,8 @@
 
 /** One of them may be down. */
 constexpr std::size_t READERS_PER_DATA_CENTRE = 2;
+/** Callers may ask for a job 3 s after it was accepted. */
+constexpr millis MAX_READ_AGE{2800};
 
 /** State readers of a data centre, the strongest first. */
 std::vector<const member_record*> readers_in(const member_map& members,
@@ -38,6 +40,11 @@
         [&](const member_record* reader) { return reader->host == host; });
 }
 
+bool has_read_all_jobs(const std::vector<millis>& read_ages) {
+    return std::all_of(read_ages.begin(), read_ages.end(),
+                       [](millis age) { return age <= MAX_READ_AGE; });
+}
+
 std::vector<std::string> state_reader_addresses(const member_map& members,
                                                 const host_id& host) {
     const auto self = members.find(host);
--- a/src/dispatch/reader_func.hpp
+++ b/src/dispatch/reader_func.hpp
@@ -29,4 +29,13 @@
 std::vector<std::string> state_reader_addresses(const member_map& members,
                                                 const host_id& host);
 
+/**
+ * Tells whether an owner that doesn't know a job may say that there is none. A
+ * job that was accepted elsewhere may be in any partition, and its
+ * notification may be lost.
+ * @param read_ages For each partition of jobs, the time since the last
+ * answered read of it was sent.
+ */
+bool has_read_all_jobs(const std::vector<millis>& read_ages);
+
 } // namespace rattan::dispatch
--- a/src/front/front_state.cpp
+++ b/src/front/front_state.cpp
@@ -16,8 +16,6 @@
 constexpr millis CALL_TIMEOUT{700}; ///< Of a question to another host.
 /** After this time without the owner, job states are read from the store. */
 constexpr millis OWNER_SILENT_AGE{600};
-/** Without the store for longer, an owner may lack jobs that were accepted. */
-constexpr millis MAX_COMPLETE_STORE_AGE{1000};
 constexpr std::size_t MAX_READERS_ASKED = 2; ///< For one question.
 
 } // namespace
@@ -33,7 +31,7 @@
     bool complete = false;
     if (owner_ && owner_->serving()) {
         state = owner_->decisions().state_of(job, organisation);
-        complete = members_.store_age() <= MAX_COMPLETE_STORE_AGE;
+        complete = owner_->knows_all_jobs();
     } else if (state_reader_ && state_reader_->loaded()) {
         state = state_reader_->state_of(job, organisation);
     }
--- a/src/front/owner_service.cpp
+++ b/src/front/owner_service.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log_func.hpp"
 #include "dispatch/partition_func.hpp"
+#include "dispatch/reader_func.hpp"
 #include "net/program_runtime.hpp"
 #include "net/thrift_codec.hpp"
 #include "platform/wire_codec.hpp"
@@ -22,7 +23,11 @@
 namespace {
 
 constexpr millis LOAD_PAGE_TIMEOUT{1500};
-constexpr millis JOBS_MAX_WAIT{2000}; ///< Long-poll time of a read of jobs.
+/**
+ * Long-poll time of a read of jobs. Twice this and the delay between reads are
+ * less than the age up to which an owner knows all jobs.
+ */
+constexpr millis JOBS_MAX_WAIT{1000};
 /**
  * Delay between reads of jobs. Hosts notify the owner of jobs directly; reading
  * the topic only finds those whose notification was lost.
@@ -152,6 +157,14 @@
     return {.now = event_loop::now(), .wall_ms = wall_millis()};
 }
 
+bool owner_service::knows_all_jobs() const {
+    const mono_time now = event_loop::now();
+    std::vector<millis> read_ages;
+    for (const auto& follower : job_followers_)
+        read_ages.push_back(now - follower->answered_at());
+    return has_read_all_jobs(read_ages);
+}
+
 void owner_service::start_loading() {
     for (const auto& follower : job_followers_)
         follower->start();
--- a/src/front/owner_service.hpp
+++ b/src/front/owner_service.hpp
@@ -51,6 +51,8 @@
 
     /** Tells whether the stored state is loaded and requests are answered. */
     [[nodiscard]] bool serving() const { return serving_; }
+    /** Tells whether a job that is not known here does not exist. */
+    [[nodiscard]] bool knows_all_jobs() const;
     /** State of the cell's jobs and targets, and the decisions on them. */
     [[nodiscard]] const dispatch::owner& decisions() const { return owner_; }
 
--- a/tests/reader_func_test.cpp
+++ b/tests/reader_func_test.cpp
@@ -45,6 +45,14 @@
     EXPECT_FALSE(is_state_reader(members, {"unknown"}));
 }
 
+// The notification of an accepted job and the read of its partition were both
+// delayed; the owner answered 410 for it 3.8 s after its acceptance, while its
+// reads of other partitions went on.
+TEST(state_reader, owner_calls_no_job_unknown_with_a_stale_partition) {
+    EXPECT_TRUE(has_read_all_jobs({millis(100), millis(2500), millis(1700)}));
+    EXPECT_FALSE(has_read_all_jobs({millis(100), millis(3700), millis(100)}));
+}
+
 TEST(state_reader, hosts_ask_readers_of_their_own_data_centre_first) {
     const member_map members = large_cell();
     const auto asked = state_reader_addresses(members, {"b-3"});
