--- a/tests/partition_func_test.cpp
+++ b/tests/partition_func_test.cpp
@@ -15,8 +15,7 @@
 
 // 97 hosts append one job each at a time, 107 jobs a second, to a store that
 // takes 40 times as long as usual. Guards against appends that queue for
-// seconds: with 8 partitions for 67 appends a second, two thirds of the
-// callers had no answer or a late one.
+// seconds: 8 partitions take 67 of them a second.
 TEST(partition, slow_store_takes_a_burst_of_jobs_from_many_hosts) {
     constexpr double APPEND_MS = 3.0 * 40;
     constexpr double JOBS_PER_S = 107;
