Review: owners end by themselves after runners have restarted

Cause: a run that the new process has begun is listed as unknown while its task waits, and the task is placed on the same target: an assertion fails. Change: a script with its record; the other cases move down by one.

--- a/review/standin/cases.cpp
+++ b/review/standin/cases.cpp
@@ -82,6 +82,46 @@
     return broken > 0 ? BROKEN : HELD;
 }
 
+/** As above; the new process soon ends one of its two tasks. */
+int crashed_owner(scene& s) {
+    constexpr std::int64_t PLAY_MS = 85'000;
+    constexpr int TASKS = 24; // Two for each of 12 runners.
+    constexpr int MACHINES = 2;
+    constexpr int ENDS = 3;
+    const std::int64_t begun = steady_ms();
+    while (steady_ms() < begun + PLAY_MS) {
+        if (scene::trouble()) {
+            std::vector<std::int64_t> born;
+            for (const int runner : {1, 0}) {
+                born.push_back(s.entry_born(runner));
+                s.signal_runner(runner, SIGKILL);
+            }
+            sleep_ms(1'000);
+            s.start_runner(1);
+            s.wait_for_entry(1, born[0]);
+            sleep_ms(40); // They don't boot in the same instant.
+            s.start_runner(0);
+            s.wait_for_entry(0, born[1]);
+        } else {
+            sleep_ms(1'050);
+        }
+        const std::string job = s.submit(
+            "quick",
+            {{{"count", TASKS}, {"cpu", 4'000}, {"estimateMs", 1'000}}},
+            "ms=60 odd_tasks=3000");
+        s.wait_until(15'000, [&] {
+            s.restart_ended_fronts();
+            return s.state("quick", job) == "completed";
+        });
+        sleep_ms(3'000);
+    }
+    int machines = 0;
+    for (const auto& [host, ends] : s.restart_ended_fronts())
+        machines += ends >= ENDS ? 1 : 0;
+    count_twice(s);
+    return machines >= MACHINES ? BROKEN : HELD;
+}
+
 /** A runner falls silent, comes back, and is lost for good at once. */
 int lost_after_restart(scene& s) {
     constexpr std::int64_t TRAFFIC_MS = 30'000;
@@ -259,6 +299,7 @@
     {"restarted-runners", {{}, &restarted_runners}},
     {"lost-after-restart", {{}, &lost_after_restart}},
     {"failed-too-early", {{}, &failed_too_early}},
+    {"crashed-owner", {{.hosts = 3}, &crashed_owner}},
     {"large-job", {{}, &large_job}},
     {"waiting-not-counted", {{.runners = 12}, &waiting_not_counted}},
 };
--- a/review/standin/runner.cpp
+++ b/review/standin/runner.cpp
@@ -165,7 +165,10 @@
             return refuse("old");
         const std::string spec = body.value("taskSpec", "");
         run begun{.number = number, .began_at = clock()};
-        if (const std::int64_t ms = option(spec, "ms", 0); ms > 0)
+        const bool odd = (task.back() - '0') % 2 != 0;
+        const std::int64_t ms =
+            option(spec, odd ? "odd_tasks" : "ms", option(spec, "ms", 0));
+        if (ms > 0)
             begun.ends_at = clock() + ms;
         if (option(spec, "failing_run", 0) == number)
             begun.how = "failed";
--- a/review/standin/scene.cpp
+++ b/review/standin/scene.cpp
@@ -21,7 +21,7 @@
 
 namespace {
 
-constexpr int HOSTS = 6;
+constexpr std::int64_t RESTART_MS = 400;
 const std::string STORE = "100:8182";
 const std::string ADVICE = "101:8182";
 const std::string ADMIN = "102:9000";
@@ -219,7 +219,9 @@
     const std::string body =
         json({{"taskSpec", spec}, {"jobSteps", steps}}).dump();
     for (int attempt = 0; attempt < 20; ++attempt) {
-        const int host = 1 + (number + attempt) % HOSTS;
+        const int host = 1 + (number + attempt) % options_.hosts;
+        if (!pids_.contains("front-" + std::to_string(host)))
+            continue;
         const auto sent_at = steady_ms();
         const auto answer = call(host, "POST", queue, job, body);
         note({{"post", job},
@@ -235,7 +237,7 @@
 }
 
 std::string scene::state(const std::string& queue, const std::string& job) {
-    for (int host = 1; host <= HOSTS; ++host) {
+    for (int host = 1; host <= options_.hosts; ++host) {
         if (!pids_.contains("front-" + std::to_string(host)))
             continue;
         const auto answer = call(host, "GET", queue, job);
@@ -288,6 +290,28 @@
     store_admin("/admin/put?topic=keyed.op&key=config", config.dump());
 }
 
+const std::map<int, int>& scene::restart_ended_fronts() {
+    for (int host = 1; host <= options_.hosts; ++host) {
+        const std::string name = "front-" + std::to_string(host);
+        const auto due = start_again_.find(host);
+        if (due != start_again_.end() && due->second <= steady_ms()) {
+            start_again_.erase(due);
+            start_front(host);
+        }
+        int status = 0;
+        if (!pids_.contains(name) ||
+            waitpid(pids_.at(name), &status, WNOHANG) <= 0)
+            continue;
+        pids_.erase(name);
+        start_again_[host] = steady_ms() + RESTART_MS;
+        ++own_ends_[host];
+        note({{"ended_by_itself", name},
+              {"signal", WIFSIGNALED(status) ? WTERMSIG(status) : 0},
+              {"times", own_ends_[host]}});
+    }
+    return own_ends_;
+}
+
 void scene::note_runs() {
     for (const auto& [task, list] : runs())
         for (const seen_run& run : list)
@@ -313,7 +337,7 @@
     put_config(1);
     for (int runner = 0; runner < options_.runners; ++runner)
         start_runner(runner);
-    for (int host = 1; host <= HOSTS; ++host)
+    for (int host = 1; host <= options_.hosts; ++host)
         start_front(host);
     sleep_ms(4'000);
     const std::string job =
--- a/review/standin/scene.hpp
+++ b/review/standin/scene.hpp
@@ -28,13 +28,14 @@
 };
 
 struct scene_options {
+    int hosts = 6; ///< Entry hosts, spread over three zones.
     int runners = 16;
     std::int64_t cpu = 8'000; ///< Of each runner, in thousandths.
     int max_attempts = 4;
 };
 
 /**
- * Six entry hosts in three zones, a store and runners. All processes are
+ * Entry hosts in three zones, a store and runners. All processes are
  * children of this one and end with it.
  */
 class scene {
@@ -74,6 +75,11 @@
     [[nodiscard]] std::map<std::string, std::vector<seen_run>> runs();
 
     void note(const nlohmann::json& line);
+    /**
+     * Starts entry hosts again 0.4 s after they have ended by themselves.
+     * @return How often each host has done so up to now.
+     */
+    const std::map<int, int>& restart_ended_fronts();
     /** Writes all runs so far to the record. */
     void note_runs();
     bool wait_until(std::int64_t ms, const std::function<bool()>& done,
@@ -92,6 +98,8 @@
     std::filesystem::path work_dir_;
     std::map<std::string, pid_t> pids_;
     std::map<int, std::vector<std::int64_t>> deaths_; ///< By runner.
+    std::map<int, int> own_ends_;                     ///< By entry host.
+    std::map<int, std::int64_t> start_again_;         ///< When, by entry host.
     int next_job_ = 0;
     std::mutex job_mutex_;
 };
