--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,9 +1,9 @@
 #!/usr/bin/env bash
-# Plays the case "restarted-runners" and writes record.txt beside this file. Exits with 1
+# Plays the case "completed-taken-back" and writes record.txt beside this file. Exits with 1
 # if the rule was broken, 0 if it held, 2 if the case could not run.
 # TROUBLE=0 does the same without the disruption.
 set -u
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -x target/rattan_front ] && [ -x review/bin/review_tool ] || exit 2
-exec timeout -k 5 118 review/bin/review_tool case restarted-runners "$here/record.txt"
+exec timeout -k 5 118 review/bin/review_tool case completed-taken-back "$here/record.txt"
--- a/review/standin/cases.cpp
+++ b/review/standin/cases.cpp
@@ -227,6 +227,51 @@
     return broken > 0 ? BROKEN : HELD;
 }
 
+/** While the store is down, the owner and the job's runner are lost. */
+int completed_taken_back(scene& s) {
+    constexpr std::int64_t TASK_MS = 2'000;
+    const std::string job = s.submit(
+        "plan", {{{"count", 1}, {"cpu", 1'000}, {"estimateMs", TASK_MS}}},
+        "ms=" + std::to_string(TASK_MS));
+    const std::string task = job + ".0.0.0";
+    if (!s.wait_until(
+            3'000, [&] { return s.runs().contains(task); }, 20))
+        return COULD_NOT_RUN;
+    const std::string name = s.runs().at(task).front().runner;
+    const int owner = s.owner();
+    if (owner == 0)
+        return COULD_NOT_RUN;
+    sleep_ms(TASK_MS - 600);
+    if (scene::trouble())
+        s.store_admin("/admin/down?ms=4500&part=all");
+    std::int64_t shown = 0;
+    s.wait_until(
+        4'000,
+        [&] {
+            if (s.state("plan", job) == "completed")
+                shown = steady_ms();
+            return shown > 0;
+        },
+        50);
+    s.note({{"shown_as_completed", shown}});
+    if (scene::trouble()) {
+        s.signal_front(owner, SIGKILL);
+        s.signal_runner(std::stoi(name.substr(1)), SIGKILL);
+        sleep_ms(3'500);
+        s.start_front(owner);
+    }
+    sleep_ms(18'000);
+    s.state("plan", job);
+    int broken = 0;
+    for (const seen_run& run : s.runs().at(task))
+        if (shown > 0 && run.begin > shown + 1'000) {
+            ++broken;
+            s.note({{"started_after_completed", describe(run)},
+                    {"later_by_ms", run.begin - shown}});
+        }
+    return broken > 0 ? BROKEN : HELD;
+}
+
 /** An idle runner refuses orders while all others are full. */
 int waiting_not_counted(scene& s) {
     constexpr int RUNNERS = 12;
@@ -300,6 +345,7 @@
     {"lost-after-restart", {{}, &lost_after_restart}},
     {"failed-too-early", {{}, &failed_too_early}},
     {"crashed-owner", {{.hosts = 3}, &crashed_owner}},
+    {"completed-taken-back", {{}, &completed_taken_back}},
     {"large-job", {{}, &large_job}},
     {"waiting-not-counted", {{.runners = 12}, &waiting_not_counted}},
 };
--- a/review/standin/scene.cpp
+++ b/review/standin/scene.cpp
@@ -312,6 +312,19 @@
     return own_ends_;
 }
 
+int scene::owner() {
+    for (int host = 1; host <= options_.hosts; ++host) {
+        const json dump =
+            send_http_request({.url = "http://" + prefix_ +
+                                      std::to_string(host) + ":9464/dump",
+                               .timeout_ms = 500})
+                .json();
+        if (dump.is_object() && dump.contains("epoch"))
+            return host;
+    }
+    return 0;
+}
+
 void scene::note_runs() {
     for (const auto& [task, list] : runs())
         for (const seen_run& run : list)
--- a/review/standin/scene.hpp
+++ b/review/standin/scene.hpp
@@ -70,6 +70,8 @@
     void store_admin(const std::string& path, const std::string& body = "");
     void runner_admin(int runner, const std::string& path);
     void put_config(int version);
+    /** The entry host that owns the cell by its dump; 0 if none does. */
+    int owner();
 
     /** Runs by task, from the runners' output so far. */
     [[nodiscard]] std::map<std::string, std::vector<seen_run>> runs();
--- a/review/standin/store.cpp
+++ b/review/standin/store.cpp
@@ -148,6 +148,11 @@
         return {.body = "{}"};
     }
 
+    bool is_down(const std::string& partition) {
+        const auto found = down_until_.find(partition);
+        return found != down_until_.end() && event_loop::now() < found->second;
+    }
+
     /** A record is written when more than the entry's `seq` has changed. */
     void note_heartbeat(const std::string& id, json value) {
         json plain = value;
@@ -171,8 +176,7 @@
 
     void handle(const http_request& request,
                 const http_server::responder& answer) {
-        const auto down = down_until_.find(partition_of(request));
-        if (down != down_until_.end() && event_loop::now() < down->second)
+        if (is_down("all") || is_down(partition_of(request)))
             return answer({.status = 503, .body = "{}"});
         if (request.path == "/-/log-append")
             return answer(append(request));
@@ -288,6 +292,11 @@
     void serve_waiting() {
         const mono_time now = event_loop::now();
         for (auto at = waiting_.begin(); at != waiting_.end();) {
+            if (is_down("all") || is_down(at->partition)) {
+                at->answer({.status = 503, .body = "{}"});
+                at = waiting_.erase(at);
+                continue;
+            }
             if (at->from >= partitions_[at->partition].end() &&
                 now < at->until) {
                 ++at;
