--- a/review/standin/cases.cpp
+++ b/review/standin/cases.cpp
@@ -182,8 +182,8 @@
     return lost > 0 ? BROKEN : HELD;
 }
 
-/** All entry hosts are killed while a part of the store is down. */
-int failed_too_early(scene& s) {
+/** Takes the configuration away from the owner while first runs fail. */
+int play_failed_too_early(scene& s, const std::function<void()>& disrupt) {
     constexpr int JOBS = 5;
     std::vector<std::string> jobs;
     for (int i = 0; i < JOBS; ++i)
@@ -191,13 +191,8 @@
             "plan", {{{"count", 1}, {"cpu", 2'000}, {"estimateMs", 2'500}}},
             "ms=2500 failing_run=1"));
     sleep_ms(1'000);
-    if (scene::trouble()) {
-        s.store_admin("/admin/down?ms=4500&part=keyed.op/0");
-        for (int host = 1; host <= 6; ++host)
-            s.signal_front(host, SIGKILL);
-        for (int host = 1; host <= 6; ++host)
-            s.start_front(host);
-    }
+    if (scene::trouble())
+        disrupt();
     sleep_ms(10'000);
     int broken = 0;
     std::map<std::string, std::string> states;
@@ -227,6 +222,26 @@
     return broken > 0 ? BROKEN : HELD;
 }
 
+/** All entry hosts are killed while a part of the store is down. */
+int failed_too_early(scene& s) {
+    return play_failed_too_early(s, [&s] {
+        s.store_admin("/admin/down?ms=4500&part=keyed.op/0");
+        for (int host = 1; host <= 6; ++host)
+            s.signal_front(host, SIGKILL);
+        for (int host = 1; host <= 6; ++host)
+            s.start_front(host);
+    });
+}
+
+/** A version without the queue's route is in force for 4 s. */
+int failed_without_route(scene& s) {
+    return play_failed_too_early(s, [&s] {
+        s.put_config(2, false);
+        sleep_ms(4'000);
+        s.put_config(3);
+    });
+}
+
 /** While the store is down, the owner and the job's runner are lost. */
 int completed_taken_back(scene& s) {
     constexpr std::int64_t TASK_MS = 2'000;
@@ -344,6 +359,7 @@
     {"restarted-runners", {{}, &restarted_runners}},
     {"lost-after-restart", {{}, &lost_after_restart}},
     {"failed-too-early", {{}, &failed_too_early}},
+    {"failed-without-route", {{}, &failed_without_route}},
     {"crashed-owner", {{.hosts = 3}, &crashed_owner}},
     {"completed-taken-back", {{}, &completed_taken_back}},
     {"large-job", {{}, &large_job}},
--- a/review/standin/scene.cpp
+++ b/review/standin/scene.cpp
@@ -266,10 +266,12 @@
                               std::to_string(110 + runner) + ":8000" + path});
 }
 
-void scene::put_config(int version) {
+void scene::put_config(int version, bool with_plan) {
     json routes = json::array();
     for (const auto& [name, priority] :
          {std::pair{"quick", 0}, std::pair{"plan", 2}}) {
+        if (priority > 0 && !with_plan)
+            continue;
         json route = {{"name", name},
                       {"hostname", "shop.example"},
                       {"pathPrefix", std::string("/") + name + "/"},
--- a/review/standin/scene.hpp
+++ b/review/standin/scene.hpp
@@ -69,7 +69,7 @@
     /** Calls a path of the store's admin address or of a runner. */
     void store_admin(const std::string& path, const std::string& body = "");
     void runner_admin(int runner, const std::string& path);
-    void put_config(int version);
+    void put_config(int version, bool with_plan = true);
     /** The entry host that owns the cell by its dump; 0 if none does. */
     int owner();
 
