--- a/tests/dispatch_world.cpp
+++ b/tests/dispatch_world.cpp
@@ -39,6 +39,8 @@
             .labels = {"a", "r1-" + std::to_string(i / TARGETS_PER_RACK)},
             .rack = "r1-" + std::to_string(i / TARGETS_PER_RACK),
             .incarnation = 1};
+        target.listed = target.entry;
+        target.clock_offset = CLOCK_OFFSET_STEP * (i + 1);
         targets_.push_back(std::move(target));
     }
     config_.version = 1;
@@ -241,9 +243,8 @@
                                    bool answer_arrives) {
     const int index = index_of(address.id);
     fake_target& target = targets_[static_cast<size_t>(index)];
-    order_answer answer{.answered = true,
-                        .sent = true,
-                        .clock_ms = now_ + CLOCK_OFFSET_STEP * (index + 1)};
+    order_answer answer{
+        .answered = true, .sent = true, .clock_ms = clock_of(target)};
     const step_spec& spec =
         accepted_.at(order.task.step.job)
             .spec.steps[static_cast<size_t>(order.task.step.step)];
@@ -255,7 +256,10 @@
         answer.refusal = order_refusal::stale_run;
     } else {
         target.fencing_token = order.fencing_token;
-        target.lease_end_ms = std::max(target.lease_end_ms, order.lease_end_ms);
+        extend_lease(target, order.lease_end_ms);
+        if (succeeded_.contains(order.task))
+            ++starts_after_success_;
+        last_starts_[order.task] = now_;
         resources used = spec.demand;
         for (const auto& [task, run] : target.runs)
             used += run.demand;
@@ -277,10 +281,12 @@
             spec.demand};
         answer.done = true;
         if (!spec.long_lived || target.failing)
-            after(takes, [this, index, task = order.task, run = order.run] {
+            after(takes, [this, index, task = order.task, run = order.run,
+                          process = target.entry.incarnation] {
                 fake_target& executor = targets_[static_cast<size_t>(index)];
                 const auto found = executor.runs.find(task);
-                if (found != executor.runs.end() && found->second.run == run)
+                if (executor.entry.incarnation == process &&
+                    found != executor.runs.end() && found->second.run == run)
                     end_run(executor, task,
                             executor.failing ? run_end::failed : run_end::done);
             });
@@ -301,6 +307,7 @@
     target.stopped_runs[task] = std::max(target.stopped_runs[task], run);
     target.ended.push_back(
         {.sequence = ++target.last_end, .task = task, .run = run, .end = how});
+    target.ended_at[target.last_end] = now_;
     if (target.pending_poll)
         std::exchange(target.pending_poll, nullptr)();
 }
@@ -328,9 +335,29 @@
           });
 }
 
+void simulated_cell::extend_lease(fake_target& target,
+                                  std::int64_t lease_end_ms) const {
+    target.lease_end_ms = std::max(
+        target.lease_end_ms,
+        std::min(lease_end_ms, clock_of(target) + options_.max_lease.count()));
+}
+
+void simulated_cell::acknowledge_ends(fake_target& target,
+                                      std::int64_t last_seen) {
+    for (const listed_end& end : target.ended) {
+        if (end.sequence > last_seen || end.end != run_end::done)
+            continue;
+        succeeded_.insert(end.task);
+        if (last_starts_[end.task] > target.ended_at[end.sequence])
+            ++starts_after_success_;
+    }
+    std::erase_if(target.ended, [&](const listed_end& end) {
+        return end.sequence <= last_seen;
+    });
+}
+
 void simulated_cell::expire_leases(fake_target& target) {
-    const int index = index_of(target.entry.id);
-    if (now_ + CLOCK_OFFSET_STEP * (index + 1) <= target.lease_end_ms)
+    if (clock_of(target) <= target.lease_end_ms)
         return;
     while (!target.runs.empty())
         end_run(target, target.runs.begin()->first, run_end::lease_expired);
@@ -367,16 +394,25 @@
             return;
         }
         target.fencing_token = order.fencing_token;
-        target.lease_end_ms = std::max(target.lease_end_ms, order.lease_end_ms);
-        std::erase_if(target.ended, [&](const listed_end& end) {
-            return end.sequence <= order.last_seen;
-        });
+        extend_lease(target, order.lease_end_ms);
+        acknowledge_ends(target, order.last_seen);
         if (!target.ended.empty() || order.wait.count() == 0)
             return send_poll_answer(index, order, sent_at);
         auto answered = std::make_shared<bool>(false);
-        const auto answer = [this, index, order, sent_at, answered] {
-            if (!std::exchange(*answered, true))
-                send_poll_answer(index, order, sent_at);
+        const auto answer = [this, index, order, sent_at, answered,
+                             process = target.entry.incarnation] {
+            if (std::exchange(*answered, true))
+                return;
+            if (targets_[static_cast<size_t>(index)].entry.incarnation ==
+                process)
+                return send_poll_answer(index, order, sent_at);
+            // The connection ended with the process.
+            deliver_answer([this, index, order, sent_at] {
+                owner_->poll_answered(
+                    target_name(index),
+                    {.order = {.sent = true}, .concurrent = order.concurrent},
+                    sent_at, clock());
+            });
         };
         target.pending_poll = answer;
         after(order.wait, answer);
@@ -386,13 +422,12 @@
 void simulated_cell::send_poll_answer(int index, const poll_order& order,
                                       mono_time sent_at) {
     const fake_target& target = targets_[static_cast<size_t>(index)];
-    poll_answer answer{
-        .order = {.answered = true,
-                  .sent = true,
-                  .done = true,
-                  .clock_ms = now_ + CLOCK_OFFSET_STEP * (index + 1)},
-        .concurrent = order.concurrent,
-        .incarnation = target.entry.incarnation};
+    poll_answer answer{.order = {.answered = true,
+                                 .sent = true,
+                                 .done = true,
+                                 .clock_ms = clock_of(target)},
+                       .concurrent = order.concurrent,
+                       .incarnation = target.entry.incarnation};
     for (const auto& [task, run] : target.runs)
         answer.running.push_back(
             {.task = task,
@@ -479,7 +514,7 @@
     owner_->set_hosts(hosts);
     owner_->ownership_confirmed(clock().now);
     for (const fake_target& target : targets_)
-        owner_->target_listed(target.entry, clock());
+        owner_->target_listed(target.listed, clock());
     for (const auto& [id, record] : accepted_) {
         job_entry job{.record = record};
         const auto progress = stored_.find(progress_key(id));
@@ -505,11 +540,23 @@
     fake_target& restarted = targets_[static_cast<size_t>(target)];
     restarted.runs.clear();
     restarted.ended.clear();
+    restarted.ended_at.clear();
     restarted.last_end = 0;
     restarted.fencing_token = 0;
     restarted.lease_end_ms = 0;
+    restarted.clock_offset = -now_;
     restarted.stopped_runs.clear();
     ++restarted.entry.incarnation;
+    if (restarted.pending_poll)
+        std::exchange(restarted.pending_poll, nullptr)();
+    after(options_.list_delay, [this, target] { list_target(target); });
+}
+
+void simulated_cell::list_target(int target) {
+    fake_target& listed = targets_[static_cast<size_t>(target)];
+    listed.listed = listed.entry;
+    owner_->target_listed(listed.listed, clock());
+    schedule_tick();
 }
 
 void simulated_cell::set_failing(int target, bool failing) {
--- a/tests/dispatch_world.hpp
+++ b/tests/dispatch_world.hpp
@@ -11,6 +11,7 @@
 #include <memory>
 #include <queue>
 #include <random>
+#include <set>
 
 namespace rattan::dispatch::testing {
 
@@ -23,6 +24,10 @@
     int hosts = 6;            ///< Hosts that call the advice service.
     millis append_latency{8}; ///< Round trip of an append.
     millis order_latency{3};  ///< Round trip of an order.
+    /** Time after which the list of targets shows a restart. */
+    millis list_delay{1000};
+    /** Longest lease that a target grants. */
+    millis max_lease{6000};
     /** Standard deviation of the logarithm of actual duration over estimate. */
     double estimate_error = 0;
 };
@@ -81,7 +86,13 @@
     /** @name Fault injection. */
     ///@{
     void set_silent(int target, bool silent);
+    /**
+     * Replaces the process of a target: the new one has the same id, holds
+     * nothing of the earlier one, and counts ends and time from the start.
+     */
     void restart_target(int target);
+    /** The list of targets shows the newest process of a target. */
+    void list_target(int target);
     void set_failing(int target, bool failing);
     void set_slow(int target, double factor);
     /** Multiplies the duration of a task on any target. */
@@ -111,6 +122,10 @@
     [[nodiscard]] int overcommitted_starts() const {
         return overcommitted_starts_;
     }
+    /** Starts of tasks of which a successful end was acknowledged. */
+    [[nodiscard]] int starts_after_success() const {
+        return starts_after_success_;
+    }
     [[nodiscard]] int starts() const { return starts_; }
     [[nodiscard]] int ticks() const { return ticks_; }
     [[nodiscard]] std::size_t runs_of(const job_id& job) const;
@@ -142,10 +157,14 @@
     };
     struct fake_target {
         target_entry entry;
+        target_entry listed; ///< As the list of targets shows it.
         std::map<task_id, fake_run> runs;
         std::vector<listed_end> ended;
+        /** When each end occurred, by sequence number. */
+        std::map<std::int64_t, std::int64_t> ended_at;
         std::int64_t last_end = 0;
         std::int64_t lease_end_ms = 0;
+        std::int64_t clock_offset = 0; ///< Its clock minus the virtual time.
         std::int64_t fencing_token = 0;
         /** Highest run number that may no longer start. */
         std::map<task_id, std::int32_t> stopped_runs;
@@ -185,6 +204,12 @@
     void send_poll_answer(int target, const poll_order& order,
                           mono_time sent_at);
     void expire_leases(fake_target& target);
+    void extend_lease(fake_target& target, std::int64_t lease_end_ms) const;
+    /** The owner will not hear of these ends again. */
+    void acknowledge_ends(fake_target& target, std::int64_t last_seen);
+    [[nodiscard]] std::int64_t clock_of(const fake_target& target) const {
+        return now_ + target.clock_offset;
+    }
     int index_of(const target_id& id) const;
     [[nodiscard]] millis actual_duration(const task_id& task);
     /** The job with actual durations in place of the estimates. */
@@ -217,6 +242,11 @@
     std::int64_t tick_at_ = 0;
     int overlapping_runs_ = 0;
     int overcommitted_starts_ = 0;
+    int starts_after_success_ = 0;
+    /** Time of the last start of each task. */
+    std::map<task_id, std::int64_t> last_starts_;
+    /** Tasks with an acknowledged successful end. */
+    std::set<task_id> succeeded_;
     int starts_ = 0;
     int ticks_ = 0;
     int next_job_ = 0;
