Keep runs of a restarted target until its new process reports

Seen by callers: a task ran on two targets at the same time; tasks whose success was acknowledged ran again; failed runs that nobody counted made a task start too often. Owners also ended with an assertion when a target listed a run that they had just given up.

Cause: a target may restart under its id, and its new process carries out orders that were meant for the old one. The owner mixed the two up. It took every run for gone when it learned of the restart, also those that the new process had begun; went back to the old process when one of its answers came late; combined the clock of one process with the lease end of the other; and acknowledged ends of the new process by a sequence number of the old one.

Change: an owner knows the newest process of a target, from its entry or an answer, and each position, clock and lease belongs to one process. - After a restart, confirmed runs are `unconfirmed` until a poll that was sent after the confirmation is answered by the new process: listed ones go on, others have ended. Stops are sent again, since it has not seen them. - Answers of an earlier process are dropped. A start answered with a clock that doesn't fit raises the suspicion of a restart and is followed by a poll. - Ends are acknowledged only while no start is outstanding and no restart is suspected, so a process that isn't known yet has none to forget. - A target receives work only while the list describes its newest process. - Leases of a process whose clock isn't known end by local time. - A task is placed only if no target has a run of it.

--- a/src/dispatch/dispatch_type.hpp
+++ b/src/dispatch/dispatch_type.hpp
@@ -142,3 +142,11 @@
                static_cast<std::size_t>(step.repeat * 64 + step.step);
     }
 };
+
+template <>
+struct std::hash<rattan::dispatch::task_id> {
+    std::size_t operator()(const rattan::dispatch::task_id& task) const {
+        return std::hash<rattan::dispatch::step_ref>()(task.step) * 31 +
+               static_cast<std::size_t>(task.index);
+    }
+};
--- a/src/dispatch/owner_base.cpp
+++ b/src/dispatch/owner_base.cpp
@@ -68,20 +68,13 @@
 void owner::target_listed(const target_entry& entry, const owner_clock& clock) {
     const target_state* known = targets_.find(entry.id);
     const bool is_new = known == nullptr;
-    const std::int64_t old_incarnation = is_new ? 0 : known->entry.incarnation;
+    const bool was_current = !is_new && known->entry_current();
     target_state& target = targets_.add_or_update(entry);
-    if (is_new) {
+    observe_incarnation(target, entry.incarnation, clock);
+    if (is_new)
         target.next_poll = clock.now;
+    if (is_new || (target.entry_current() && !was_current))
         schedule_due_ = true;
-        return;
-    }
-    if (old_incarnation == entry.incarnation || old_incarnation == 0 ||
-        entry.incarnation == 0)
-        return;
-    if (entry.incarnation > old_incarnation)
-        handle_restart(target, entry.incarnation, clock);
-    else // A stale entry arrived late.
-        target.entry.incarnation = old_incarnation;
 }
 
 void owner::target_delisted(const target_id& target) {
@@ -186,12 +179,21 @@
                              .incarnation = task.incarnation});
                         target->listed = false;
                     }
+                    observe_incarnation(*target, task.incarnation, clock);
+                    // The earlier owner may not have known of the restart: its
+                    // orders gave the new process leases by the old clock.
+                    if (task.incarnation != target->incarnation)
+                        target->all_leases_end =
+                            std::max(target->all_leases_end,
+                                     latest_lease_end(clock.now) +
+                                         settings_.max_unconfirmed);
                     targets_.add_run(
                         *target,
                         {{id, repeat_number, static_cast<std::int32_t>(s)},
                          static_cast<std::int32_t>(i)},
                         {.run = task.run,
                          .phase = run_phase::inherited,
+                         .incarnation = task.incarnation,
                          .demand = spec.demand,
                          .best_effort = spec.best_effort,
                          .long_lived = spec.long_lived,
@@ -259,12 +261,13 @@
     ends_in_store_call_.clear();
     for (auto& [id, target] : targets_.all())
         if (target.last_applied_end > target.last_stored_end)
-            ends_in_store_call_[id] = target.last_applied_end;
+            ends_in_store_call_[id] = {target.incarnation,
+                                       target.last_applied_end};
     runs_in_store_call_ = std::exchange(unstored_runs_, {});
     if (records.empty()) {
         // Ends of unknown runs change no job, so there is nothing to store.
-        for (const auto& [id, sequence] : ends_in_store_call_)
-            targets_.find(id)->last_stored_end = sequence;
+        for (const auto& [id, end] : ends_in_store_call_)
+            targets_.find(id)->last_stored_end = end.sequence;
         ends_in_store_call_.clear();
         return;
     }
@@ -274,11 +277,12 @@
 
 void owner::records_stored(const owner_clock& clock) {
     store_pending_ = false;
-    for (const auto& [id, sequence] : ends_in_store_call_) {
+    for (const auto& [id, end] : ends_in_store_call_) {
         target_state* target = targets_.find(id);
-        if (target == nullptr || target->last_applied_end < sequence)
+        if (target == nullptr || target->incarnation != end.incarnation)
             continue;
-        target->last_stored_end = std::max(target->last_stored_end, sequence);
+        target->last_stored_end =
+            std::max(target->last_stored_end, end.sequence);
         target->next_poll = std::min(target->next_poll, clock.now);
     }
     ends_in_store_call_.clear();
--- a/src/dispatch/owner_base.hpp
+++ b/src/dispatch/owner_base.hpp
@@ -61,6 +61,8 @@
     std::int64_t epoch = 0; ///< Also the fencing token of its orders.
     /** Lease that each poll renews; a target ends its runs when it expires. */
     millis lease{3500};
+    /** Targets shorten longer leases to this. */
+    millis max_lease{6000};
     /**
      * No orders are sent if the store last confirmed the ownership longer ago
      * than this.
@@ -240,8 +242,25 @@
                          mono_time sent_at, const owner_clock& clock);
     void process_listed_run(target_state& target, const listed_run& run,
                             const owner_clock& clock);
-    void handle_restart(target_state& target, std::int64_t incarnation,
-                        const owner_clock& clock);
+    /**
+     * Handles the process of a target that its entry or its answer names.
+     * @param incarnation 0: not named.
+     */
+    void observe_incarnation(target_state& target, std::int64_t incarnation,
+                             const owner_clock& clock);
+    /**
+     * Discards what was known of the earlier process. Its runs ended with it,
+     * but the new process may have carried out their starts.
+     */
+    void handle_restart(target_state& target, const owner_clock& clock);
+    /** Tells whether a start was sent and may still be carried out. */
+    [[nodiscard]] static bool start_outstanding(const target_state& target);
+    /** Time by which a lease ends that any process of a target receives now. */
+    [[nodiscard]] mono_time latest_lease_end(mono_time now) const;
+    void grant_lease(target_state& target, std::int64_t lease_end_ms,
+                     mono_time now) const;
+    [[nodiscard]] bool run_expired(const target_state& target,
+                                   const run_entry& run, mono_time now) const;
     void expire_runs(target_state& target, const owner_clock& clock);
     void throttle_best_effort(target_state& target);
 
@@ -301,7 +320,7 @@
     /** Runs that the next `store` call will record. */
     std::vector<std::pair<target_id, task_id>> unstored_runs_;
     /** Last end of each target whose effects the pending call stores. */
-    std::map<target_id, std::int64_t> ends_in_store_call_;
+    std::map<target_id, end_position> ends_in_store_call_;
 };
 
 /** Keys of the records of a job in the store. */
--- a/src/dispatch/owner_place.cpp
+++ b/src/dispatch/owner_place.cpp
@@ -118,8 +118,9 @@
     schedulable_.clear();
     largest_free_ = {};
     for (auto& [id, target] : targets_.all()) {
-        target.schedulable = target.listed && target.fenced &&
-                             target.responsive && !target.entry.draining &&
+        target.schedulable = target.listed && target.entry_current() &&
+                             target.fenced && target.responsive &&
+                             !target.entry.draining &&
                              now >= target.backoff_until &&
                              !evacuated_.contains(target.entry.data_centre);
         if (!target.schedulable)
@@ -228,7 +229,8 @@
         for (size_t i = 0;
              i < entry.tasks.size() && position < candidates.size(); ++i) {
             const task_entry& task = entry.tasks[i];
-            if (task.phase != task_phase::waiting)
+            if (task.phase != task_phase::waiting ||
+                targets_.has_run({step.ref, static_cast<std::int32_t>(i)}))
                 continue;
             if (!step.spec->demand.fits_in(remaining_quota(step)))
                 return;
@@ -286,11 +288,9 @@
     if (entry.waiting < count ||
         !(step.spec->demand * count).fits_in(remaining_quota(step)))
         return;
-    for (const auto& [id, target] : targets_.all()) {
-        const auto position = target.runs.lower_bound(task_id{step.ref, 0});
-        if (position != target.runs.end() && position->first.step == step.ref)
+    for (std::int32_t i = 0; i < count; ++i)
+        if (targets_.has_run({step.ref, i}))
             return;
-    }
     std::vector<target_state*> selected;
     const auto collect = [&](const std::string* rack) {
         selected.clear();
@@ -329,11 +329,13 @@
     if (step.queue->advice)
         ticket = *advice_.for_step(step.ref).valid_ticket(target.entry.id,
                                                           clock.now);
-    jobs_.place(task, run, target.entry);
+    jobs_.place(task, run,
+                {.id = target.entry.id, .incarnation = target.incarnation});
     targets_.add_run(
         target, task,
         {.run = run,
          .phase = run_phase::recording,
+         .incarnation = target.incarnation,
          .demand = step.spec->demand,
          .best_effort = step.spec->best_effort,
          .long_lived = step.spec->long_lived,
--- a/src/dispatch/owner_poll.cpp
+++ b/src/dispatch/owner_poll.cpp
@@ -17,8 +17,15 @@
 constexpr millis POLL_TIMEOUT_MARGIN{700};
 /** Allows for rounding and for the time that killing the run takes. */
 constexpr millis LEASE_EXPIRY_MARGIN{100};
+/** After this time an order without an answer has reached its target or not. */
+constexpr millis MAX_ORDER_TIME{1000};
 /** Between polls while ends are not stored yet; they only renew the lease. */
 constexpr millis LEASE_RENEWAL_PERIOD{800};
+/**
+ * Between polls while ends can't be acknowledged because of an unanswered
+ * start: the target lists them again at once instead of waiting for others.
+ */
+constexpr millis REPEATED_ENDS_POLL_PERIOD{100};
 /**
  * A run that is still reported this long after it should have stopped is
  * stopped again.
@@ -68,9 +75,14 @@
         target.responsive)
         wait = serving && target.best_effort_milli_cores > 0 ? SERVING_POLL_WAIT
                                                              : LONG_POLL_WAIT;
+    // A process that has taken the place of the known one would forget its own
+    // ends up to this number. It has none unless it carried out a start.
+    const bool ends_of_known_process =
+        target.responsive && target.restart_suspected == mono_time{} &&
+        !start_outstanding(target);
     poll_order order{.fencing_token = settings_.epoch,
                      .last_seen =
-                         target.responsive ? target.last_stored_end : 0,
+                         ends_of_known_process ? target.last_stored_end : 0,
                      .wait = wait,
                      .timeout = wait + POLL_TIMEOUT_MARGIN};
     // The lease of an unresponsive target is not renewed. Otherwise its runs
@@ -78,7 +90,7 @@
     if (target.clock_ms > 0 && (target.responsive || !target.fenced)) {
         order.lease_end_ms =
             target.estimated_clock_ms(clock.now) + settings_.lease.count();
-        target.lease_end_ms = std::max(target.lease_end_ms, order.lease_end_ms);
+        grant_lease(target, order.lease_end_ms, clock.now);
     }
     target.poll_pending = true;
     target.poll_sent_at = clock.now;
@@ -92,7 +104,6 @@
     }
     // The pending poll may be waiting for an end that never comes.
     output_.poll(address_of(target), {.fencing_token = settings_.epoch,
-                                      .last_seen = target.last_stored_end,
                                       .timeout = POLL_TIMEOUT_MARGIN,
                                       .concurrent = true});
 }
@@ -103,30 +114,45 @@
     if (found == nullptr)
         return;
     target_state& target = *found;
-    if (!answer.concurrent)
+    const bool before_restart = sent_at < target.incarnation_since;
+    if (!answer.concurrent && !before_restart)
         target.poll_pending = false;
     if (answer.order.refusal == order_refusal::stale_token) {
         superseded_ = true;
         return;
     }
-    if (!answer.order.done && answer.concurrent)
-        return; // The regular poll decides about the target.
+    // The regular poll of the newest process decides about the target.
+    if (!answer.order.done && (answer.concurrent || before_restart))
+        return;
     if (!answer.order.done) {
         if (std::exchange(target.responsive, false))
             output_.log("target_silent", {}, "target=" + id.value);
         target.next_poll = clock.now + POLL_RETRY_PERIOD;
         return;
     }
-    if (answer.incarnation != 0 &&
-        answer.incarnation != target.entry.incarnation)
-        handle_restart(target, answer.incarnation, clock);
+    if (answer.incarnation != 0 && answer.incarnation < target.incarnation) {
+        target.next_poll = clock.now + POLL_RETRY_PERIOD;
+        return; // Of an earlier process.
+    }
+    observe_incarnation(target, answer.incarnation, clock);
     // Answers of two concurrent polls may arrive out of order.
     if (answer.order.clock_ms < target.last_poll_clock_ms)
         return;
     target.last_poll_clock_ms = answer.order.clock_ms;
     const bool was_schedulable = target.responsive && target.fenced;
+    // The process may hold a lease of an earlier owner, or one meant for the
+    // process before it, which it has shortened to the maximum.
+    if (!target.fenced)
+        target.lease_end_ms = std::max(
+            target.lease_end_ms,
+            answer.order.clock_ms + (target.incarnation_since == mono_time{}
+                                         ? settings_.lease
+                                         : settings_.max_lease)
+                                        .count());
     target_table::set_clock(target, answer.order.clock_ms, clock.now);
     target.responsive = true;
+    if (sent_at > target.restart_suspected)
+        target.restart_suspected = {};
     for (const listed_end& end : answer.ended)
         if (end.sequence > target.last_applied_end)
             process_end(target, end, clock);
@@ -138,6 +164,8 @@
     assess_speed(target, clock);
     if (target.last_applied_end > target.last_stored_end)
         target.next_poll = clock.now + LEASE_RENEWAL_PERIOD;
+    else if (!answer.ended.empty() && start_outstanding(target))
+        target.next_poll = clock.now + REPEATED_ENDS_POLL_PERIOD;
     else if (target.runs.empty())
         target.next_poll = clock.now + IDLE_POLL_PERIOD;
     else
@@ -182,6 +210,11 @@
             // this poll, the target rejects orders of earlier owners.
             gone.push_back(task);
             break;
+        case run_phase::unconfirmed:
+            // It ended with the earlier process.
+            if (sent_at > run.started)
+                gone.push_back(task);
+            break;
         case run_phase::stopping:
             if (run.stop_acked != mono_time{} && sent_at > run.stop_acked)
                 gone.push_back(task);
@@ -212,8 +245,10 @@
             request_stop(target, listed.task, run);
         }
         if (run.phase == run_phase::inherited ||
+            run.phase == run_phase::unconfirmed ||
             run.phase == run_phase::starting) {
             run.phase = run_phase::running;
+            run.incarnation = target.incarnation;
             run.phase_since = clock.now;
             run.started = clock.now;
         }
@@ -333,49 +368,92 @@
     return static_cast<std::size_t>(count) * TARGETS_PER_DEGRADED > all.size();
 }
 
-void owner::handle_restart(target_state& target, std::int64_t incarnation,
-                           const owner_clock& clock) {
-    output_.log("target_restarted", {}, "target=" + target.entry.id.value);
-    std::vector<task_id> gone;
+void owner::observe_incarnation(target_state& target, std::int64_t incarnation,
+                                const owner_clock& clock) {
+    if (incarnation <= target.incarnation)
+        return;
+    if (std::exchange(target.incarnation, incarnation) != 0)
+        handle_restart(target, clock);
+}
+
+void owner::handle_restart(target_state& target, const owner_clock& clock) {
+    output_.log("target_restarted", {},
+                "target=" + target.entry.id.value +
+                    " incarnation=" + std::to_string(target.incarnation) +
+                    " runs=" + std::to_string(target.runs.size()));
     for (auto& [task, run] : target.runs) {
-        if (run.phase == run_phase::recording)
-            continue;
-        // A delayed start order could still reach the new process, so the run
-        // is stopped there first.
-        if (run.phase == run_phase::starting ||
-            (run.phase == run_phase::stopping && run.started == mono_time{})) {
+        run.percent_clock_ms = 0;
+        switch (run.phase) {
+        case run_phase::running:
+            run.phase = run_phase::unconfirmed;
+            run.phase_since = clock.now;
+            break;
+        case run_phase::stopping:
+            // The new process has not seen the order to stop.
             request_stop(target, task, run);
-            continue;
+            break;
+        case run_phase::recording:
+        case run_phase::starting:
+        case run_phase::inherited:
+        case run_phase::unconfirmed:
+            break;
         }
-        gone.push_back(task);
     }
-    for (const task_id& task : gone)
-        release_run(target, task);
-    target.entry.incarnation = incarnation;
+    target.incarnation_since = clock.now;
+    target.restart_suspected = {};
     target.last_applied_end = 0;
     target.last_stored_end = 0;
     target.clock_ms = 0;
     target.lease_end_ms = 0;
     target.last_poll_clock_ms = 0;
     target.fenced = false;
+    target.poll_pending = false;
+    target.health = {};
+    target.degraded = false;
     target.next_poll = clock.now;
     schedule_due_ = true;
 }
 
+bool owner::start_outstanding(const target_state& target) {
+    return std::any_of(target.runs.begin(), target.runs.end(),
+                       [](const auto& item) {
+                           return item.second.phase == run_phase::starting ||
+                                  item.second.start_uncertain;
+                       });
+}
+
+mono_time owner::latest_lease_end(mono_time now) const {
+    const auto longest = static_cast<std::int64_t>(
+        static_cast<double>(settings_.max_lease.count()) / MIN_CLOCK_RATE);
+    return now + millis(longest) + settings_.stop_duration + MAX_ORDER_TIME;
+}
+
+void owner::grant_lease(target_state& target, std::int64_t lease_end_ms,
+                        mono_time now) const {
+    target.lease_end_ms = std::max(target.lease_end_ms, lease_end_ms);
+    target.all_leases_end =
+        std::max(target.all_leases_end, latest_lease_end(now));
+}
+
+bool owner::run_expired(const target_state& target, const run_entry& run,
+                        mono_time now) const {
+    if (run.phase == run_phase::recording)
+        return false;
+    // Without the clock of the process that may hold the run, or for a run of
+    // an earlier owner, local time decides.
+    if (run.phase == run_phase::inherited || target.clock_ms == 0)
+        return now >= inherited_leases_end_ && now >= target.all_leases_end;
+    return target_table::leases_expired(
+        target, now, LEASE_EXPIRY_MARGIN + settings_.stop_duration);
+}
+
 void owner::expire_runs(target_state& target, const owner_clock& clock) {
     if (target.runs.empty() || target.responsive)
         return;
     std::vector<task_id> gone;
-    const bool leases_expired =
-        target.clock_ms > 0 &&
-        target_table::leases_expired(
-            target, clock.now, LEASE_EXPIRY_MARGIN + settings_.stop_duration);
-    for (const auto& [task, run] : target.runs) {
-        if (run.phase == run_phase::inherited
-                ? clock.now >= inherited_leases_end_
-                : run.phase != run_phase::recording && leases_expired)
+    for (const auto& [task, run] : target.runs)
+        if (run_expired(target, run, clock.now))
             gone.push_back(task);
-    }
     for (const task_id& task : gone) {
         output_.log("run_lapsed", task.step.job,
                     "target=" + target.entry.id.value);
--- a/src/dispatch/owner_start.cpp
+++ b/src/dispatch/owner_start.cpp
@@ -39,7 +39,7 @@
     const task_entry* entry = jobs_.find(task);
     const bool wanted = job != nullptr && entry != nullptr && !job->ended() &&
                         entry->run == run.run &&
-                        entry->incarnation == target.entry.incarnation;
+                        run.incarnation == target.incarnation;
     // The ticket may have expired while the run was being stored.
     const bool ticket_expired =
         !run.ticket.empty() && clock.now >= run.ticket_expires;
@@ -55,7 +55,7 @@
     }
     const std::int64_t lease_end_ms =
         target.estimated_clock_ms(clock.now) + settings_.lease.count();
-    target.lease_end_ms = std::max(target.lease_end_ms, lease_end_ms);
+    grant_lease(target, lease_end_ms, clock.now);
     run.phase = run_phase::starting;
     run.phase_since = clock.now;
     output_.start(address_of(target), {.task = task,
@@ -75,7 +75,10 @@
     target_state* target = targets_.find(id);
     if (target == nullptr)
         return;
-    target_table::set_clock(*target, answer.clock_ms, clock.now);
+    const bool clock_fits =
+        target_table::clock_fits(*target, answer.clock_ms, clock.now);
+    if (!clock_fits)
+        target->restart_suspected = clock.now;
     const auto found = target->runs.find(task);
     if (found == target->runs.end() || found->second.run != run_number)
         return;
@@ -86,8 +89,12 @@
         return;
     run.phase_since = clock.now;
     if (answer.done) {
-        run.phase = run_phase::running;
         run.started = clock.now;
+        const bool known_process =
+            clock_fits && run.incarnation == target->incarnation;
+        run.phase = known_process ? run_phase::running : run_phase::unconfirmed;
+        if (!known_process)
+            poll_concurrently(*target, clock);
         return;
     }
     if (answer.sent && !answer.answered) {
--- a/src/dispatch/owner_stop.cpp
+++ b/src/dispatch/owner_stop.cpp
@@ -67,11 +67,13 @@
     target_state* target = targets_.find(id);
     if (target == nullptr)
         return;
-    target_table::set_clock(*target, answer.clock_ms, clock.now);
     const auto found = target->runs.find(task);
     if (found == target->runs.end() || found->second.run != run_number ||
         !answer.done)
         return;
+    // Without a later order the answer is that of a process before a restart.
+    if (!found->second.stop_sent)
+        return;
     found->second.stop_acked = clock.now;
     if (found->second.start_uncertain)
         return poll_concurrently(*target, clock);
--- a/src/dispatch/target_table.cpp
+++ b/src/dispatch/target_table.cpp
@@ -6,6 +6,13 @@
 
 namespace rattan::dispatch {
 
+namespace {
+
+/** Time from reading a target's clock to handling the answer. */
+constexpr millis MAX_ANSWER_AGE{1000};
+
+} // namespace
+
 resources allocation_for(const resources& demand, bool best_effort) {
     resources out = demand;
     if (best_effort)
@@ -15,8 +22,10 @@
 
 target_state& target_table::add_or_update(const target_entry& entry) {
     target_state& target = targets_[entry.id];
-    target.entry = entry;
     target.listed = true;
+    // A read of the list may lag behind an earlier one.
+    if (entry.incarnation == 0 || entry.incarnation >= target.entry.incarnation)
+        target.entry = entry;
     return target;
 }
 
@@ -39,6 +48,7 @@
     if (run.best_effort)
         target.best_effort_milli_cores += run.demand.milli_cores;
     usage_[run.organisation] += run.demand;
+    ++run_counts_[task];
     return target.runs[task] = std::move(run);
 }
 
@@ -51,6 +61,9 @@
     if (run.best_effort)
         target.best_effort_milli_cores -= run.demand.milli_cores;
     usage_[run.organisation] -= run.demand;
+    const auto count = run_counts_.find(task);
+    if (--count->second == 0)
+        run_counts_.erase(count);
     target.runs.erase(found);
 }
 
@@ -62,6 +75,18 @@
     target.clock_received_at = now;
 }
 
+bool target_table::clock_fits(const target_state& target, std::int64_t clock_ms,
+                              mono_time now) {
+    if (clock_ms <= 0 || target.clock_ms <= 0)
+        return true;
+    const std::int64_t estimate = target.estimated_clock_ms(now);
+    const auto drift = static_cast<std::int64_t>(
+        static_cast<double>((now - target.clock_received_at).count()) *
+        (1 - MIN_CLOCK_RATE));
+    return clock_ms >= estimate - drift - MAX_ANSWER_AGE.count() &&
+           clock_ms <= estimate + MAX_ANSWER_AGE.count();
+}
+
 bool target_table::leases_expired(const target_state& target, mono_time now,
                                   millis margin) {
     const double elapsed =
--- a/src/dispatch/target_table.hpp
+++ b/src/dispatch/target_table.hpp
@@ -19,12 +19,19 @@
     running,   ///< Confirmed by the target.
     stopping,  ///< A stop order is due or has been sent.
     inherited, ///< Recorded by an earlier owner; not reported yet.
+    /**
+     * Confirmed before a restart of the target became known: either process may
+     * have carried out the start. Not reported by the new process yet.
+     */
+    unconfirmed,
 };
 
 /** A run that exists or may exist on a target. */
 struct run_entry {
     std::int32_t run = 0;
     run_phase phase = run_phase::recording;
+    /** Process of the target that was known when the start was sent. */
+    std::int64_t incarnation = 0;
     resources demand;
     bool best_effort = false;
     bool long_lived = false;
@@ -46,10 +53,28 @@
     std::int32_t speed_percent = 100; ///< Speed limit of a best-effort task.
 };
 
+/** Sequence number of an end; each process of a target counts from 1. */
+struct end_position {
+    std::int64_t incarnation = 0;
+    std::int64_t sequence = 0;
+};
+
 /** A target as seen by the owner. */
 struct target_state {
     target_entry entry;
     bool listed = true; ///< Still in the platform's list.
+    /**
+     * Newest process known, from the list of targets or from an answer. The
+     * list may still describe an earlier one.
+     */
+    std::int64_t incarnation = 0;
+    /** When that process became known. */
+    mono_time incarnation_since{};
+    /**
+     * An answer did not fit the clock of the known process, so another one may
+     * have taken its place. Reset by a poll sent later than this.
+     */
+    mono_time restart_suspected{};
     std::map<task_id, run_entry> runs;
     resources allocated; ///< Without the processors of best-effort tasks.
     /** Requested by best-effort tasks. */
@@ -58,8 +83,13 @@
     std::int64_t clock_ms = 0; ///< The target's clock as of its last answer.
     mono_time clock_received_at{}; ///< Local time of that answer.
     std::int64_t lease_end_ms = 0; ///< Latest end of a lease in any order sent.
+    /**
+     * All leases granted by this owner have ended by this time, whichever
+     * process of the target received them.
+     */
+    mono_time all_leases_end{};
 
-    /** Sequence number of the last end processed. */
+    /** Sequence number of the last end processed, in the known process. */
     std::int64_t last_applied_end = 0;
     /** Sequence number of the last end whose effects are stored. */
     std::int64_t last_stored_end = 0;
@@ -87,6 +117,11 @@
         return entry.capacity - allocated;
     }
 
+    /** Tells whether the list describes the newest process known. */
+    [[nodiscard]] bool entry_current() const {
+        return entry.incarnation == 0 || entry.incarnation == incarnation;
+    }
+
     /** Tells whether a run is present that ends by itself. */
     [[nodiscard]] bool has_finite_run() const {
         return std::any_of(runs.begin(), runs.end(), [](const auto& item) {
@@ -134,10 +169,18 @@
     /** Removes a run and frees its resources. */
     void remove_run(target_state& target, const task_id& task);
 
-    /** Records a target's clock as received at `now`. */
+    /** Records the clock of a target's known process as received at `now`. */
     static void set_clock(target_state& target, std::int64_t clock_ms,
                           mono_time now);
 
+    /**
+     * Tells whether an answer can come from the known process of a target. A
+     * process that has taken its place counts time from its own start.
+     * @param clock_ms Clock in the answer; 0: none, which fits.
+     */
+    [[nodiscard]] static bool clock_fits(const target_state& target,
+                                         std::int64_t clock_ms, mono_time now);
+
     /**
      * Tells whether all leases have ended even if the target's clock has run at
      * the slowest rate.
@@ -149,6 +192,11 @@
     /** Resources of all runs of an organisation that exist or may exist. */
     [[nodiscard]] resources usage(const organisation_id& organisation) const;
 
+    /** Tells whether a run of a task exists or may exist on any target. */
+    [[nodiscard]] bool has_run(const task_id& task) const {
+        return run_counts_.contains(task);
+    }
+
     [[nodiscard]] target_state* find(const target_id& id);
 
     [[nodiscard]] std::map<target_id, target_state>& all() { return targets_; }
@@ -159,6 +207,8 @@
 private:
     std::map<target_id, target_state> targets_;
     std::unordered_map<organisation_id, resources> usage_;
+    /** Number of targets with a run of each task; none are left out. */
+    std::unordered_map<task_id, int> run_counts_;
 };
 
 } // namespace rattan::dispatch
--- a/src/front/owner_service.cpp
+++ b/src/front/owner_service.cpp
@@ -67,6 +67,7 @@
                                    std::int64_t epoch) {
     owner_settings out{.epoch = epoch};
     out.lease = std::min(out.lease, settings.max_lease);
+    out.max_lease = settings.max_lease;
     out.stop_duration = settings.stop_duration;
     out.state_retention = settings.state_retention;
     out.tail_violation_limit = settings.tail_violation_limit;
