Stop starts without an answer in the next process of a target as well

Seen: a start order has no answer, its stop is confirmed, and the task starts elsewhere. The target restarts under its id, and the delayed order reaches the new process, which has seen neither the stop nor the fence: the task runs twice.

Cause: the owner forgot the start with the confirmation of its stop, though that holds for one process only.

Change: starts without an answer are kept for as long as they may still arrive, and are stopped in each new process before the task is placed again.

--- a/src/dispatch/owner_base.hpp
+++ b/src/dispatch/owner_base.hpp
@@ -253,6 +253,8 @@
      * but the new process may have carried out their starts.
      */
     void handle_restart(target_state& target, const owner_clock& clock);
+    /** Stops the starts without an answer in the new process of a target. */
+    void stop_unanswered_starts(target_state& target, const owner_clock& clock);
     /** Tells whether a start was sent and may still be carried out. */
     [[nodiscard]] static bool start_outstanding(const target_state& target);
     /** Time by which a lease ends that any process of a target receives now. */
--- a/src/dispatch/owner_poll.cpp
+++ b/src/dispatch/owner_poll.cpp
@@ -17,8 +17,10 @@
 constexpr millis POLL_TIMEOUT_MARGIN{700};
 /** Allows for rounding and for the time that killing the run takes. */
 constexpr millis LEASE_EXPIRY_MARGIN{100};
-/** After this time an order without an answer has reached its target or not. */
-constexpr millis MAX_ORDER_TIME{1000};
+constexpr millis MAX_ORDER_TIME{
+    1000}; ///< From sending an order to its timeout.
+/** An order without an answer may be carried out until this much later. */
+constexpr millis MAX_ORDER_DELAY{15'000};
 /** Between polls while ends are not stored yet; they only renew the lease. */
 constexpr millis LEASE_RENEWAL_PERIOD{800};
 /**
@@ -227,6 +229,7 @@
     }
     for (const task_id& task : gone)
         release_run(target, task);
+    stop_unanswered_starts(target, clock);
 }
 
 void owner::process_listed_run(target_state& target, const listed_run& listed,
@@ -399,6 +402,7 @@
             break;
         }
     }
+    stop_unanswered_starts(target, clock);
     target.incarnation_since = clock.now;
     target.restart_suspected = {};
     target.last_applied_end = 0;
@@ -414,6 +418,27 @@
     schedule_due_ = true;
 }
 
+void owner::stop_unanswered_starts(target_state& target,
+                                   const owner_clock& clock) {
+    std::erase_if(target.unanswered_starts, [&](const unanswered_start& start) {
+        return clock.now - start.sent_at > MAX_ORDER_DELAY;
+    });
+    for (unanswered_start& start : target.unanswered_starts) {
+        if (start.stopped_in == target.incarnation ||
+            target.runs.contains(start.task))
+            continue;
+        start.stopped_in = target.incarnation;
+        run_entry& run = targets_.add_run(target, start.task,
+                                          {.run = start.run,
+                                           .demand = start.demand,
+                                           .best_effort = start.best_effort,
+                                           .organisation = start.organisation,
+                                           .phase_since = clock.now,
+                                           .start_uncertain = true});
+        request_stop(target, start.task, run);
+    }
+}
+
 bool owner::start_outstanding(const target_state& target) {
     return std::any_of(target.runs.begin(), target.runs.end(),
                        [](const auto& item) {
--- a/src/dispatch/owner_start.cpp
+++ b/src/dispatch/owner_start.cpp
@@ -100,6 +100,13 @@
     if (answer.sent && !answer.answered) {
         // The order may be carried out seconds later; a stop prevents that.
         run.start_uncertain = true;
+        target->unanswered_starts.push_back({.task = task,
+                                             .run = run.run,
+                                             .stopped_in = target->incarnation,
+                                             .demand = run.demand,
+                                             .best_effort = run.best_effort,
+                                             .organisation = run.organisation,
+                                             .sent_at = clock.now});
         output_.log("start_unclear", task.step.job, "target=" + id.value);
         request_stop(*target, task, run);
         return;
--- a/src/dispatch/target_table.hpp
+++ b/src/dispatch/target_table.hpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace rattan::dispatch {
 
@@ -59,6 +60,18 @@
     std::int64_t sequence = 0;
 };
 
+/** A start order without an answer, which may be carried out later. */
+struct unanswered_start {
+    task_id task;
+    std::int32_t run = 0;
+    /** Newest process of the target that is told to stop the run. */
+    std::int64_t stopped_in = 0;
+    resources demand;
+    bool best_effort = false;
+    organisation_id organisation;
+    mono_time sent_at{};
+};
+
 /** A target as seen by the owner. */
 struct target_state {
     target_entry entry;
@@ -76,6 +89,8 @@
      */
     mono_time restart_suspected{};
     std::map<task_id, run_entry> runs;
+    /** Kept after their stops were confirmed, for the next process. */
+    std::vector<unanswered_start> unanswered_starts;
     resources allocated; ///< Without the processors of best-effort tasks.
     /** Requested by best-effort tasks. */
     std::int64_t best_effort_milli_cores = 0;
--- a/tests/target_restart_test.cpp
+++ b/tests/target_restart_test.cpp
@@ -85,3 +85,22 @@
             << "seed " << seed;
     }
 }
+
+// A start has no answer, its stop is confirmed, and the target restarts before
+// the start arrives. Guards against forgetting the start with its stop: the new
+// process knows of neither and began a task that ran elsewhere.
+TEST(target_restart, late_start_is_stopped_in_the_new_process) {
+    for (std::uint32_t seed = 1; seed <= 20; ++seed) {
+        simulated_cell cell = make_cell(seed);
+        cell.at(millis(2000), [&cell] {
+            cell.delay_starts(0.5);
+            cell.submit("batch", "a", wide_job(4000));
+        });
+        cell.at(millis(2100), [&cell] { cell.delay_starts(0); });
+        for (int i = 0; i < TARGETS; ++i)
+            cell.at(millis(3500), [&cell, i] { cell.restart_target(i); });
+        cell.run_until(millis(40000));
+        EXPECT_EQ(cell.overlapping_runs(), 0) << "seed " << seed;
+        EXPECT_EQ(cell.queue_result("batch").ended, 1) << "seed " << seed;
+    }
+}
