Test restarts of targets that coincide with a second fault

Extends the simulated cell by late polls, tickets that are valid for one process, delisting and processes with an earlier start time.

--- a/tests/dispatch_world.cpp
+++ b/tests/dispatch_world.cpp
@@ -16,10 +16,15 @@
 constexpr int TARGETS_PER_RACK = 8;
 constexpr std::int64_t MEMORY_MIB = 1 << 20;
 constexpr millis START_TIMEOUT{350}; ///< For the answer to a start order.
-/** After which a delayed start order is carried out. */
+/** After which a delayed order is carried out. */
 constexpr millis START_DELAY{3000};
 const std::string SERVICE = "pool";
 
+/** A ticket is valid for one process of a target. */
+std::string ticket_of(const target_entry& target) {
+    return "ticket " + std::to_string(target.incarnation);
+}
+
 } // namespace
 
 simulated_cell::simulated_cell(const simulation_options& options)
@@ -254,6 +259,10 @@
         answer.refusal = order_refusal::lease_expired;
     } else if (target.stopped_runs[order.task] >= order.run) {
         answer.refusal = order_refusal::stale_run;
+    } else if (!order.ticket.empty() &&
+               order.ticket != ticket_of(target.entry)) {
+        answer.refusal = order_refusal::invalid_ticket;
+        ++starts_with_old_ticket_;
     } else {
         target.fencing_token = order.fencing_token;
         extend_lease(target, order.lease_end_ms);
@@ -367,6 +376,27 @@
                           const poll_order& order) {
     const int index = index_of(address.id);
     const mono_time sent_at = clock().now;
+    ++polls_;
+    if (delay_polls_) {
+        after(order.timeout, [this, index, order, sent_at, epoch = epoch_] {
+            if (epoch != epoch_)
+                return;
+            owner_->poll_answered(
+                target_name(index),
+                {.order = {.sent = true}, .concurrent = order.concurrent},
+                sent_at, clock());
+            schedule_tick();
+        });
+        after(START_DELAY, [this, index, order] {
+            fake_target& target = targets_[static_cast<size_t>(index)];
+            if (order.fencing_token < target.fencing_token)
+                return;
+            target.fencing_token = order.fencing_token;
+            extend_lease(target, order.lease_end_ms);
+            acknowledge_ends(target, order.last_seen);
+        });
+        return;
+    }
     after(options_.order_latency / 2, [this, index, order, sent_at] {
         fake_target& target = targets_[static_cast<size_t>(index)];
         expire_leases(target);
@@ -458,7 +488,10 @@
                                      std::to_string(step.step)) %
             1000;
         if (static_cast<double>(draw) < kind.eligible_share * 1000)
-            answer.eligible.push_back({{name}, "ticket"});
+            answer.eligible.push_back(
+                {{name},
+                 ticket_of(
+                     targets_[static_cast<size_t>(index_of({name}))].entry)});
     }
     at(millis(free_at), [this, host, step, answer, epoch = epoch_,
                          slow = duration >= advice_table::SLOW_CALL_THRESHOLD] {
@@ -536,7 +569,7 @@
     targets_[static_cast<size_t>(target)].silent = silent;
 }
 
-void simulated_cell::restart_target(int target) {
+void simulated_cell::restart_target(int target, std::int64_t difference) {
     fake_target& restarted = targets_[static_cast<size_t>(target)];
     restarted.runs.clear();
     restarted.ended.clear();
@@ -546,7 +579,7 @@
     restarted.lease_end_ms = 0;
     restarted.clock_offset = -now_;
     restarted.stopped_runs.clear();
-    ++restarted.entry.incarnation;
+    restarted.entry.incarnation += difference;
     if (restarted.pending_poll)
         std::exchange(restarted.pending_poll, nullptr)();
     after(options_.list_delay, [this, target] { list_target(target); });
@@ -559,6 +592,11 @@
     schedule_tick();
 }
 
+void simulated_cell::delist_target(int target) {
+    owner_->target_delisted(target_name(target));
+    schedule_tick();
+}
+
 void simulated_cell::set_failing(int target, bool failing) {
     targets_[static_cast<size_t>(target)].failing = failing;
 }
--- a/tests/dispatch_world.hpp
+++ b/tests/dispatch_world.hpp
@@ -90,9 +90,13 @@
      * Replaces the process of a target: the new one has the same id, holds
      * nothing of the earlier one, and counts ends and time from the start.
      */
-    void restart_target(int target);
+    void restart_target(int target) { restart_target(target, 1); }
+    /** @param difference Incarnation of the new process minus the old one's. */
+    void restart_target(int target, std::int64_t difference);
     /** The list of targets shows the newest process of a target. */
     void list_target(int target);
+    /** The list of targets no longer shows a target. */
+    void delist_target(int target);
     void set_failing(int target, bool failing);
     void set_slow(int target, double factor);
     /** Multiplies the duration of a task on any target. */
@@ -102,6 +106,8 @@
     void drop_start_answers(bool drop) { drop_start_answers_ = drop; }
     /** This share of the start orders has no answer and arrives 3 s later. */
     void delay_starts(double share) { delayed_start_share_ = share; }
+    /** Polls have no answer and arrive 3 s later. */
+    void delay_polls(bool delay) { delay_polls_ = delay; }
     /** Stop orders have no answer and no effect. */
     void ignore_stops(bool ignore) { ignore_stops_ = ignore; }
     /** A new owner takes over with the records in the store. */
@@ -127,6 +133,15 @@
         return starts_after_success_;
     }
     [[nodiscard]] int starts() const { return starts_; }
+    [[nodiscard]] int polls() const { return polls_; }
+    /** Starts with a ticket for an earlier process of their target. */
+    [[nodiscard]] int starts_with_old_ticket() const {
+        return starts_with_old_ticket_;
+    }
+    /** Ends that a target still lists. */
+    [[nodiscard]] std::size_t listed_ends(int target) const {
+        return targets_[static_cast<size_t>(target)].ended.size();
+    }
     [[nodiscard]] int ticks() const { return ticks_; }
     [[nodiscard]] std::size_t runs_of(const job_id& job) const;
     [[nodiscard]] std::size_t runs_on(int target) const {
@@ -236,6 +251,7 @@
     bool store_down_ = false;
     bool drop_start_answers_ = false;
     double delayed_start_share_ = 0;
+    bool delay_polls_ = false;
     bool ignore_stops_ = false;
     std::map<task_id, double> task_slowdowns_;
     bool tick_pending_ = false;
@@ -248,6 +264,8 @@
     /** Tasks with an acknowledged successful end. */
     std::set<task_id> succeeded_;
     int starts_ = 0;
+    int polls_ = 0;
+    int starts_with_old_ticket_ = 0;
     int ticks_ = 0;
     int next_job_ = 0;
 };
--- /dev/null
+++ b/tests/restart_review_test.cpp
@@ -0,0 +1,260 @@
+/** @file Restarts of targets that coincide with a second fault, no network. */
+#include "dispatch_world.hpp"
+
+#include <gtest/gtest.h>
+
+using namespace rattan;
+using namespace rattan::dispatch;
+using namespace rattan::dispatch::testing;
+
+namespace {
+
+request_kind batch_requests(millis ticket_lifetime = millis(2500)) {
+    return {.queue = "batch",
+            .advice = {1, 0.01, ticket_lifetime},
+            .eligible_share = 1};
+}
+
+simulated_cell make_cell(const simulation_options& options,
+                         millis ticket_lifetime = millis(2500)) {
+    simulated_cell cell(options);
+    cell.add_queue(batch_requests(ticket_lifetime));
+    cell.add_organisation("a", 1000);
+    return cell;
+}
+
+/** A job whose tasks need a whole one of the smallest targets each. */
+job_spec wide_job(int tasks, int task_ms) {
+    job_spec spec{.payload = "p"};
+    spec.steps.push_back({.count = tasks,
+                          .demand = {16'000, 100, 0},
+                          .estimate = millis(task_ms)});
+    return spec;
+}
+
+job_spec long_lived_job() {
+    job_spec spec{.payload = "p"};
+    spec.steps.push_back(
+        {.count = 1, .demand = {1000, 100, 0}, .long_lived = true});
+    return spec;
+}
+
+} // namespace
+
+// A new process carries out a start and is then out of reach until its lease
+// ends; the list shows it later. Guards against taking the lease that it
+// granted, up to its maximum, for the shorter one by the old process's clock.
+TEST(restart_review, lease_of_a_process_not_yet_known_is_waited_for) {
+    for (std::uint32_t seed = 1; seed <= 20; ++seed) {
+        simulated_cell cell = make_cell(
+            {.seed = seed, .targets = 4, .list_delay = millis(20000)});
+        cell.at(millis(2000), [&cell] { cell.restart_target(2); });
+        cell.at(millis(2040),
+                [&cell] { cell.submit("batch", "a", wide_job(7, 9000)); });
+        cell.at(millis(2075), [&cell] {
+            ASSERT_EQ(cell.runs_on(2), 1u);
+            cell.set_silent(2, true);
+        });
+        cell.at(millis(12000), [&cell] { cell.set_silent(2, false); });
+        cell.run_until(millis(60000));
+        EXPECT_EQ(cell.overlapping_runs(), 0) << "seed " << seed;
+        EXPECT_EQ(cell.starts_after_success(), 0) << "seed " << seed;
+        EXPECT_EQ(cell.queue_result("batch").ended, 1) << "seed " << seed;
+    }
+}
+
+// A start order has no answer, the target confirms the stop and restarts, and
+// the order reaches the new process. Guards against starting the task elsewhere
+// while a process to come may still carry out the first order.
+TEST(restart_review, stop_confirmed_by_the_old_process_does_not_bind_the_next) {
+    for (std::uint32_t seed = 1; seed <= 20; ++seed) {
+        simulated_cell cell = make_cell({.seed = seed, .targets = 16});
+        cell.at(millis(2000), [&cell] {
+            cell.delay_starts(0.5);
+            cell.submit("batch", "a", wide_job(16, 4000));
+        });
+        cell.at(millis(2200), [&cell] { cell.delay_starts(0); });
+        cell.at(millis(4000), [&cell] {
+            for (int target = 0; target < 8; ++target)
+                cell.restart_target(target);
+        });
+        cell.run_until(millis(60000));
+        EXPECT_EQ(cell.overlapping_runs(), 0) << "seed " << seed;
+        EXPECT_EQ(cell.starts_after_success(), 0) << "seed " << seed;
+        EXPECT_EQ(cell.queue_result("batch").ended, 1) << "seed " << seed;
+    }
+}
+
+// The late order of an earlier run of a task reaches the new process of the
+// target on which the old process ran a later one. Guards against losing the
+// task for ever: the end of the earlier run does not requeue the later one.
+TEST(restart_review, earlier_run_on_the_next_process_does_not_lose_the_task) {
+    for (std::uint32_t seed = 1; seed <= 20; ++seed) {
+        simulated_cell cell = make_cell({.seed = seed, .targets = 1});
+        cell.at(millis(2000), [&cell] {
+            cell.delay_starts(1);
+            cell.submit("batch", "a", wide_job(1, 6000));
+        });
+        cell.at(millis(2200), [&cell] { cell.delay_starts(0); });
+        cell.at(millis(4950), [&cell] {
+            ASSERT_EQ(cell.runs_on(0), 1u);
+            cell.restart_target(0);
+        });
+        cell.run_until(millis(60000));
+        EXPECT_EQ(cell.overlapping_runs(), 0) << "seed " << seed;
+        EXPECT_EQ(cell.queue_result("batch").ended, 1) << "seed " << seed;
+    }
+}
+
+// A poll that acknowledges ends of the old process arrives late, at the new
+// one. Guards against waiting for ever for an end that was forgotten unread.
+TEST(restart_review, ends_forgotten_by_a_late_poll_lose_no_task) {
+    for (std::uint32_t seed = 1; seed <= 20; ++seed) {
+        simulated_cell cell = make_cell({.seed = seed, .targets = 1});
+        const auto submit = [&cell] {
+            cell.submit("batch", "a", wide_job(2, 5));
+        };
+        for (int i = 0; i < 1200; ++i)
+            cell.at(millis(1100 + i * 10), submit);
+        cell.at(millis(4000), [&cell] { cell.delay_polls(true); });
+        cell.at(millis(4100), [&cell] { cell.restart_target(0); });
+        cell.at(millis(4400), [&cell] { cell.delay_polls(false); });
+        cell.run_until(millis(90000));
+        EXPECT_EQ(cell.overlapping_runs(), 0) << "seed " << seed;
+        EXPECT_EQ(cell.queue_result("batch").ended, 1200) << "seed " << seed;
+    }
+}
+
+// A target restarts while a gang is being recorded. Guards against starting the
+// other members, which would wait in vain.
+TEST(restart_review,
+     gang_starts_whole_if_a_target_restarts_while_it_is_stored) {
+    simulated_cell cell = make_cell({.targets = 3});
+    job_spec gang = wide_job(3, 3000);
+    gang.steps[0].gang = true;
+    job_id job;
+    cell.at(millis(2000), [&] {
+        cell.set_store_down(true);
+        job = cell.submit("batch", "a", gang);
+    });
+    cell.at(millis(2100), [&cell] {
+        cell.restart_target(2);
+        cell.list_target(2);
+    });
+    cell.at(millis(2400), [&cell] { cell.set_store_down(false); });
+    cell.at(millis(2410), [&] {
+        EXPECT_TRUE(cell.runs_of(job) == 0 || cell.runs_of(job) == 3)
+            << cell.runs_of(job) << " of 3 members started";
+    });
+    cell.run_until(millis(60000));
+    EXPECT_EQ(cell.queue_result("batch").ended, 1);
+}
+
+// The clock from which processes take their start time is set back between two
+// starts. Guards against a target that is never used again and whose runs are
+// never released, since all answers count as those of an earlier process.
+TEST(restart_review, process_with_an_earlier_start_time_is_accepted) {
+    simulated_cell cell = make_cell({.targets = 1});
+    cell.at(millis(2000),
+            [&cell] { cell.submit("batch", "a", wide_job(1, 3000)); });
+    cell.at(millis(3000), [&cell] { cell.restart_target(0, -1); });
+    cell.at(millis(6000),
+            [&cell] { cell.submit("batch", "a", wide_job(1, 100)); });
+    cell.run_until(millis(60000));
+    EXPECT_EQ(cell.queue_result("batch").ended, 2);
+}
+
+// Tickets are valid for one process. Guards against starts with tickets of the
+// old process after the list shows the new one.
+TEST(restart_review, tickets_of_the_old_process_are_dropped) {
+    simulated_cell cell = make_cell({.targets = 4}, millis(20000));
+    cell.at(millis(2000),
+            [&cell] { cell.submit("batch", "a", wide_job(60, 300)); });
+    cell.at(millis(2500), [&cell] {
+        for (int target = 0; target < 4; ++target) {
+            cell.restart_target(target);
+            cell.list_target(target);
+        }
+    });
+    cell.run_until(millis(60000));
+    // A start to each target may be under way while it restarts.
+    EXPECT_EQ(cell.starts_with_old_ticket(), 0);
+    EXPECT_EQ(cell.queue_result("batch").ended, 1);
+}
+
+// A poll that acknowledges an end has no answer. Guards against leaving the end
+// unacknowledged until the next idle poll.
+TEST(restart_review, ends_are_acknowledged_soon_after_a_poll_without_answer) {
+    simulated_cell cell = make_cell({.targets = 1});
+    cell.at(millis(2000),
+            [&cell] { cell.submit("batch", "a", wide_job(1, 1000)); });
+    // The answer that lists the end has left; the next poll has no answer.
+    for (int at = 2990; at < 3100; ++at)
+        cell.at(millis(at), [&cell] {
+            if (cell.listed_ends(0) > 0)
+                cell.set_silent(0, true);
+        });
+    cell.at(millis(3500), [&cell] {
+        EXPECT_EQ(cell.listed_ends(0), 1u);
+        cell.set_silent(0, false);
+    });
+    cell.at(millis(6000), [&cell] {
+        EXPECT_EQ(cell.listed_ends(0), 0u) << "2.5 s after the fault";
+    });
+    cell.run_until(millis(20000));
+    EXPECT_EQ(cell.listed_ends(0), 0u) << "16.5 s after the fault";
+}
+
+// The list drops a target and shows it again while an end is being stored.
+// Guards against a position that the owner takes for one not stored yet, so
+// that it polls without a wait for as long as the target runs something.
+TEST(restart_review, relisted_target_is_not_polled_without_a_wait) {
+    simulated_cell cell = make_cell({.targets = 1});
+    cell.at(millis(2000),
+            [&cell] { cell.submit("batch", "a", wide_job(1, 500)); });
+    cell.at(millis(2200), [&cell] { cell.set_store_down(true); });
+    cell.at(millis(2900), [&cell] { cell.set_silent(0, true); });
+    cell.at(millis(3000), [&cell] { cell.delist_target(0); });
+    cell.at(millis(8000), [&cell] {
+        cell.set_silent(0, false);
+        cell.list_target(0);
+    });
+    cell.at(millis(8001), [&cell] { cell.set_store_down(false); });
+    cell.at(millis(9000),
+            [&cell] { cell.submit("batch", "a", long_lived_job()); });
+    int polls = 0;
+    cell.at(millis(10000), [&] { polls = cell.polls(); });
+    cell.run_until(millis(20000));
+    EXPECT_EQ(cell.runs_on(0), 1u);
+    EXPECT_LT(cell.polls() - polls, 30) << "in 10 s";
+}
+
+// A process restarts twice within a second, with a list that lags. Guards
+// against taking the third process for the second one, whose clock is similar.
+TEST(restart_review, third_process_within_a_second_is_told_apart) {
+    for (std::uint32_t seed = 1; seed <= 20; ++seed) {
+        simulated_cell cell = make_cell({.seed = seed, .targets = 4});
+        const auto submit = [&cell] {
+            cell.submit("batch", "a", wide_job(7, 5));
+        };
+        for (int round = 0; round < 10; ++round) {
+            const int begin = 2000 + round * 3000;
+            for (int i = 0; i < 100; ++i)
+                cell.at(millis(begin + i * 15), submit);
+            const auto restart = [&cell, round](bool listed) {
+                return [&cell, round, listed] {
+                    cell.restart_target(round % 4);
+                    if (listed)
+                        cell.list_target(round % 4);
+                };
+            };
+            cell.at(millis(begin + 300), restart(true));
+            cell.at(millis(begin + 900), restart(false));
+        }
+        cell.run_until(millis(90000));
+        EXPECT_EQ(cell.overlapping_runs(), 0) << "seed " << seed;
+        EXPECT_EQ(cell.starts_after_success(), 0) << "seed " << seed;
+        EXPECT_EQ(cell.overcommitted_starts(), 0) << "seed " << seed;
+        EXPECT_EQ(cell.queue_result("batch").ended, 1000) << "seed " << seed;
+    }
+}
