Stop a gang of which one member can't be started

Seen: a target restarts while a gang is being recorded; the other members are started and wait in vain until they give up.

Cause: a member that is given up before its start was sent took its gang along only if the target was still the recorded process.

Change: the run number decides whether the gang is stopped.

Measured: restart_review.gang_starts_whole_if_a_target_restarts_while_it_is_stored failed (2 of 3 members started) and passes.

--- a/src/dispatch/owner_start.cpp
+++ b/src/dispatch/owner_start.cpp
@@ -47,7 +47,9 @@
         target.entry.draining || !may_send_orders(clock.now) ||
         target.clock_ms == 0 || evacuated_.contains(target.entry.data_centre)) {
         const step_ref step = task.step;
-        const bool gang = wanted && jobs_.spec(step)->gang;
+        // Its other members would wait in vain.
+        const bool gang = entry != nullptr && entry->run == run.run &&
+                          jobs_.spec(step)->gang;
         release_run(target, task);
         if (gang)
             stop_gang(step, clock);
