Drop the tickets of a target when it restarts

Seen: after the restart of a target starts carried tickets of its earlier process and were refused.

Cause: tickets expired by time alone; they are valid for one process.

Change: a restart drops the tickets for the target, which stays eligible, so that they are asked for again.

Measured: restart_review.tickets_of_the_old_process_are_dropped failed and passes.

--- a/src/dispatch/advice_table.cpp
+++ b/src/dispatch/advice_table.cpp
@@ -137,6 +137,14 @@
         pending_calls_.erase(found);
 }
 
+void advice_table::drop_tickets(const target_id& target) {
+    for (auto& [step, advice] : steps_) {
+        const auto found = advice.eligible.find(target);
+        if (found != advice.eligible.end())
+            found->second.expires = {};
+    }
+}
+
 void advice_table::remove(const job_id& job) {
     const auto first = steps_.lower_bound(step_ref{job, 0, 0});
     auto last = first;
--- a/src/dispatch/advice_table.hpp
+++ b/src/dispatch/advice_table.hpp
@@ -98,6 +98,12 @@
     void asked(const step_ref& step, const queue_id& queue,
                std::vector<target_id> targets);
 
+    /**
+     * Drops the tickets for a target, which are valid for one process of it.
+     * The target stays eligible.
+     */
+    void drop_tickets(const target_id& target);
+
     /** Removes what is kept about the steps of a job. */
     void remove(const job_id& job);
 
--- a/src/dispatch/owner_poll.cpp
+++ b/src/dispatch/owner_poll.cpp
@@ -403,6 +403,7 @@
         }
     }
     stop_unanswered_starts(target, clock);
+    advice_.drop_tickets(target.entry.id);
     target.incarnation_since = clock.now;
     target.restart_suspected = {};
     target.last_applied_end = 0;
