Acknowledge ends soon after a poll without an answer

Seen: a poll that acknowledges the last end of a target has no answer; the end stays unacknowledged for up to 8 s, until the idle poll.

Cause: the poll after a failed one acknowledges nothing, and its answer lists the end again, but the owner had nothing left to store and polled as an idle target.

Change: an answer with ends that can be acknowledged makes the next poll due.

Measured: restart_review.ends_are_acknowledged_soon_after_a_poll_without_answer failed (the end was listed 2.5 s after the fault) and passes.

--- a/src/dispatch/owner_poll.cpp
+++ b/src/dispatch/owner_poll.cpp
@@ -166,8 +166,10 @@
     assess_speed(target, clock);
     if (target.last_applied_end > target.last_stored_end)
         target.next_poll = clock.now + LEASE_RENEWAL_PERIOD;
-    else if (!answer.ended.empty() && start_outstanding(target))
-        target.next_poll = clock.now + REPEATED_ENDS_POLL_PERIOD;
+    else if (!answer.ended.empty())
+        target.next_poll =
+            clock.now +
+            (start_outstanding(target) ? REPEATED_ENDS_POLL_PERIOD : millis(0));
     else if (target.runs.empty())
         target.next_poll = clock.now + IDLE_POLL_PERIOD;
     else
