Tell processes of a target apart where their clock was set back

Seen: after its host's clock was set back, a restarted target has an earlier start time than before. All its answers counted as those of an earlier process: its runs were never released and it was never used again.

Cause: start times were taken for the order of processes.

Change: a process that answers a poll sent when another was known is the later one, whatever its start time. The entry of a target is always the last one read; the target receives work only while it names the process that answers.

Measured: restart_review.process_with_an_earlier_start_time_is_accepted fails before (0 of 2 jobs end) and passes; the simulated targets now start with a time as incarnation, since 0 stands for none. restart_review, target_restart and dispatch_load pass, 34 tests.

--- a/src/dispatch/owner_base.cpp
+++ b/src/dispatch/owner_base.cpp
@@ -70,9 +70,12 @@
     const bool is_new = known == nullptr;
     const bool was_current = !is_new && known->entry_current();
     target_state& target = targets_.add_or_update(entry);
-    observe_incarnation(target, entry.incarnation, clock);
-    if (is_new)
-        target.next_poll = clock.now;
+    if (entry.incarnation > target.incarnation)
+        replace_process(target, entry.incarnation, clock);
+    // The read may lag, or the process may have started after its host's clock
+    // was set back: an answer decides.
+    if (is_new || !target.entry_current())
+        target.next_poll = std::min(target.next_poll, clock.now);
     if (is_new || (target.entry_current() && !was_current))
         schedule_due_ = true;
 }
@@ -179,7 +182,8 @@
                              .incarnation = task.incarnation});
                         target->listed = false;
                     }
-                    observe_incarnation(*target, task.incarnation, clock);
+                    if (task.incarnation > target->incarnation)
+                        replace_process(*target, task.incarnation, clock);
                     // The earlier owner may not have known of the restart: its
                     // orders gave the new process leases by the old clock.
                     if (task.incarnation != target->incarnation)
--- a/src/dispatch/owner_base.hpp
+++ b/src/dispatch/owner_base.hpp
@@ -242,12 +242,9 @@
                          mono_time sent_at, const owner_clock& clock);
     void process_listed_run(target_state& target, const listed_run& run,
                             const owner_clock& clock);
-    /**
-     * Handles the process of a target that its entry or its answer names.
-     * @param incarnation 0: not named.
-     */
-    void observe_incarnation(target_state& target, std::int64_t incarnation,
-                             const owner_clock& clock);
+    /** Takes another process for the newest one of a target. */
+    void replace_process(target_state& target, std::int64_t incarnation,
+                         const owner_clock& clock);
     /**
      * Discards what was known of the earlier process. Its runs ended with it,
      * but the new process may have carried out their starts.
--- a/src/dispatch/owner_poll.cpp
+++ b/src/dispatch/owner_poll.cpp
@@ -116,7 +116,7 @@
     if (found == nullptr)
         return;
     target_state& target = *found;
-    const bool before_restart = sent_at < target.incarnation_since;
+    const bool before_restart = sent_at <= target.incarnation_since;
     if (!answer.concurrent && !before_restart)
         target.poll_pending = false;
     if (answer.order.refusal == order_refusal::stale_token) {
@@ -132,11 +132,16 @@
         target.next_poll = clock.now + POLL_RETRY_PERIOD;
         return;
     }
-    if (answer.incarnation != 0 && answer.incarnation < target.incarnation) {
-        target.next_poll = clock.now + POLL_RETRY_PERIOD;
-        return; // Of an earlier process.
+    if (answer.incarnation != 0 && answer.incarnation != target.incarnation) {
+        // The start times don't tell the order of two processes if a clock was
+        // set back. One that answers a poll sent when the other was known
+        // already is the later one.
+        if (answer.incarnation < target.incarnation && before_restart) {
+            target.next_poll = clock.now + POLL_RETRY_PERIOD;
+            return;
+        }
+        replace_process(target, answer.incarnation, clock);
     }
-    observe_incarnation(target, answer.incarnation, clock);
     // Answers of two concurrent polls may arrive out of order.
     if (answer.order.clock_ms < target.last_poll_clock_ms)
         return;
@@ -373,10 +378,8 @@
     return static_cast<std::size_t>(count) * TARGETS_PER_DEGRADED > all.size();
 }
 
-void owner::observe_incarnation(target_state& target, std::int64_t incarnation,
-                                const owner_clock& clock) {
-    if (incarnation <= target.incarnation)
-        return;
+void owner::replace_process(target_state& target, std::int64_t incarnation,
+                            const owner_clock& clock) {
     if (std::exchange(target.incarnation, incarnation) != 0)
         handle_restart(target, clock);
 }
--- a/src/dispatch/owner_start.cpp
+++ b/src/dispatch/owner_start.cpp
@@ -48,8 +48,8 @@
         target.clock_ms == 0 || evacuated_.contains(target.entry.data_centre)) {
         const step_ref step = task.step;
         // Its other members would wait in vain.
-        const bool gang = entry != nullptr && entry->run == run.run &&
-                          jobs_.spec(step)->gang;
+        const bool gang =
+            entry != nullptr && entry->run == run.run && jobs_.spec(step)->gang;
         release_run(target, task);
         if (gang)
             stop_gang(step, clock);
--- a/src/dispatch/target_table.cpp
+++ b/src/dispatch/target_table.cpp
@@ -22,10 +22,8 @@
 
 target_state& target_table::add_or_update(const target_entry& entry) {
     target_state& target = targets_[entry.id];
+    target.entry = entry;
     target.listed = true;
-    // A read of the list may lag behind an earlier one.
-    if (entry.incarnation == 0 || entry.incarnation >= target.entry.incarnation)
-        target.entry = entry;
     return target;
 }
 
--- a/tests/dispatch_world.cpp
+++ b/tests/dispatch_world.cpp
@@ -43,7 +43,7 @@
                          MEMORY_MIB, 0},
             .labels = {"a", "r1-" + std::to_string(i / TARGETS_PER_RACK)},
             .rack = "r1-" + std::to_string(i / TARGETS_PER_RACK),
-            .incarnation = 1};
+            .incarnation = WALL_OFFSET};
         target.listed = target.entry;
         target.clock_offset = CLOCK_OFFSET_STEP * (i + 1);
         targets_.push_back(std::move(target));
