--- a/src/dispatch/owner_poll.cpp
+++ b/src/dispatch/owner_poll.cpp
@@ -116,7 +116,7 @@
     if (found == nullptr)
         return;
     target_state& target = *found;
-    const bool before_restart = sent_at < target.incarnation_since;
+    const bool before_restart = sent_at <= target.incarnation_since;
     if (!answer.concurrent && !before_restart)
         target.poll_pending = false;
     if (answer.order.refusal == order_refusal::stale_token) {
@@ -132,11 +132,16 @@
         target.next_poll = clock.now + POLL_RETRY_PERIOD;
         return;
     }
-    if (answer.incarnation != 0 && answer.incarnation < target.incarnation) {
-        target.next_poll = clock.now + POLL_RETRY_PERIOD;
-        return; // Of an earlier process.
+    if (answer.incarnation != 0 && answer.incarnation != target.incarnation) {
+        // The start times don't tell the order of two processes if a clock was
+        // set back. One that answers a poll sent when the other was known
+        // already is the later one.
+        if (answer.incarnation < target.incarnation && before_restart) {
+            target.next_poll = clock.now + POLL_RETRY_PERIOD;
+            return;
+        }
+        replace_process(target, answer.incarnation, clock);
     }
-    observe_incarnation(target, answer.incarnation, clock);
     // Answers of two concurrent polls may arrive out of order.
     if (answer.order.clock_ms < target.last_poll_clock_ms)
         return;
@@ -166,8 +171,10 @@
     assess_speed(target, clock);
     if (target.last_applied_end > target.last_stored_end)
         target.next_poll = clock.now + LEASE_RENEWAL_PERIOD;
-    else if (!answer.ended.empty() && start_outstanding(target))
-        target.next_poll = clock.now + REPEATED_ENDS_POLL_PERIOD;
+    else if (!answer.ended.empty())
+        target.next_poll =
+            clock.now +
+            (start_outstanding(target) ? REPEATED_ENDS_POLL_PERIOD : millis(0));
     else if (target.runs.empty())
         target.next_poll = clock.now + IDLE_POLL_PERIOD;
     else
@@ -371,10 +378,8 @@
     return static_cast<std::size_t>(count) * TARGETS_PER_DEGRADED > all.size();
 }
 
-void owner::observe_incarnation(target_state& target, std::int64_t incarnation,
-                                const owner_clock& clock) {
-    if (incarnation <= target.incarnation)
-        return;
+void owner::replace_process(target_state& target, std::int64_t incarnation,
+                            const owner_clock& clock) {
     if (std::exchange(target.incarnation, incarnation) != 0)
         handle_restart(target, clock);
 }
@@ -403,6 +408,7 @@
         }
     }
     stop_unanswered_starts(target, clock);
+    advice_.drop_tickets(target.entry.id);
     target.incarnation_since = clock.now;
     target.restart_suspected = {};
     target.last_applied_end = 0;
