--- a/tests/restart_review_test.cpp
+++ b/tests/restart_review_test.cpp
@@ -116,17 +116,18 @@
 TEST(restart_review, ends_forgotten_by_a_late_poll_lose_no_task) {
     for (std::uint32_t seed = 1; seed <= 20; ++seed) {
         simulated_cell cell = make_cell({.seed = seed, .targets = 1});
-        const auto submit = [&cell] {
-            cell.submit("direct", "a", wide_job(2, 5));
-        };
-        for (int i = 0; i < 600; ++i)
-            cell.at(millis(1100 + i * 10), submit);
-        cell.at(millis(4000), [&cell] { cell.delay_polls(true); });
-        cell.at(millis(4100), [&cell] { cell.restart_target(0); });
-        cell.at(millis(4400), [&cell] { cell.delay_polls(false); });
-        cell.run_until(millis(90000));
+        job_spec two_short_tasks = wide_job(2, 25);
+        two_short_tasks.steps[0].demand = {1000, 100, 0};
+        for (int i = 0; i < 900; ++i)
+            cell.at(millis(1100 + i * 10),
+                    [&] { cell.submit("direct", "a", two_short_tasks); });
+        const int fault = 6000 + 7 * static_cast<int>(seed);
+        cell.at(millis(fault), [&cell] { cell.delay_polls(true); });
+        cell.at(millis(fault + 100), [&cell] { cell.restart_target(0); });
+        cell.at(millis(fault + 400), [&cell] { cell.delay_polls(false); });
+        cell.run_until(millis(60000));
         EXPECT_EQ(cell.overlapping_runs(), 0) << "seed " << seed;
-        EXPECT_EQ(cell.queue_result("direct").ended, 600) << "seed " << seed;
+        EXPECT_EQ(cell.queue_result("direct").ended, 900) << "seed " << seed;
     }
 }
 
