Reject JSON that is nested deeper than 64 levels

Cause: a row of a target's list of runs that can't be decoded was logged through the library's recursive writer. 200,000 nested lists overflowed the stack and ended the process. Entries of targets, records and pages of the store were read without recursion and did no harm.

Change: all text from other processes is read by parse_json, which checks the depth before it builds a value.

--- a/src/dispatch/record_codec.cpp
+++ b/src/dispatch/record_codec.cpp
@@ -1,5 +1,6 @@
 #include "dispatch/record_codec.hpp"
 
+#include "base/json_input_func.hpp"
 #include "rattan/error_type.hpp"
 #include "rattan/json_func.hpp"
 
@@ -19,7 +20,11 @@
 template <typename Decode>
 auto decoding(const char* what, const std::string& text, Decode decode) {
     try {
-        return decode(json::parse(text));
+        const json in = parse_json(text);
+        if (in.is_discarded())
+            throw decode_error("not JSON of at most " +
+                               std::to_string(MAX_JSON_DEPTH) + " levels");
+        return decode(in);
     } catch (const std::exception& failure) {
         throw decode_error(std::string("malformed stored ") + what + ": " +
                            failure.what());
--- /dev/null
+++ b/tests/odd_entries_test.cpp
@@ -0,0 +1,141 @@
+/** @file Decoders of other processes' data against odd values. */
+#include "base/json_input_func.hpp"
+#include "dispatch/record_codec.hpp"
+#include "platform/store_client.hpp"
+#include "platform/target_client.hpp"
+#include "platform/wire_codec.hpp"
+#include "rattan/error_type.hpp"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <pthread.h>
+#include <unistd.h>
+
+using namespace rattan;
+using namespace rattan::dispatch;
+using namespace rattan::platform;
+
+namespace {
+
+constexpr size_t SMALL_STACK_BYTES = 256U << 10U;
+constexpr size_t DEPTH = 200'000;
+
+std::string repeated(const std::string& text, size_t times) {
+    std::string out;
+    out.reserve(text.size() * times);
+    for (size_t i = 0; i < times; ++i)
+        out += text;
+    return out;
+}
+
+/** Lists nested so deeply that a recursive function overflows the stack. */
+std::string deep_list() {
+    return repeated("[", DEPTH) + repeated("]", DEPTH);
+}
+
+std::string deep_object() {
+    return repeated(R"({"":)", DEPTH / 4) + "0" + repeated("}", DEPTH / 4);
+}
+
+/** Runs a call on a thread with a small stack. */
+void call_on_small_stack(const std::function<void()>& call) {
+    pthread_attr_t attributes;
+    pthread_attr_init(&attributes);
+    pthread_attr_setstacksize(&attributes, SMALL_STACK_BYTES);
+    pthread_t thread{};
+    const auto run = [](void* argument) -> void* {
+        (*static_cast<const std::function<void()>*>(argument))();
+        return nullptr;
+    };
+    ASSERT_EQ(pthread_create(&thread, &attributes, run,
+                             const_cast<std::function<void()>*>(&call)),
+              0);
+    pthread_join(thread, nullptr);
+    pthread_attr_destroy(&attributes);
+}
+
+/**
+ * Runs a call in a process of its own with a small stack; the process ends with
+ * 0 only if the call returns.
+ */
+void expect_survives(const std::function<void()>& call) {
+    EXPECT_EXIT(
+        {
+            call_on_small_stack(call);
+            _exit(0);
+        },
+        ::testing::ExitedWithCode(0), "");
+}
+
+/** Entry of a target whose fields can be replaced by other JSON text. */
+struct entry_text {
+    std::string address = R"("10.1.1.1:8080")";
+    std::string born = "1733366763000";
+    std::string cpu = "8000";
+    std::string labels = R"(["a","r1-1"])";
+    std::string more;
+
+    [[nodiscard]] std::string text() const {
+        return R"({"service":"pool","zone":"dc1","state":"ready","address":)" +
+               address + R"(,"born":)" + born + R"(,"labels":)" + labels +
+               R"(,"capacity":{"cpu":)" + cpu + R"(,"memMb":64})" + more + "}";
+    }
+};
+
+/** Tells whether the entry of a target is accepted. */
+bool accepts(const entry_text& entry) {
+    try {
+        decode_target("t1", entry.text());
+        return true;
+    } catch (const decode_error&) {
+        return false;
+    }
+}
+
+std::string run_list(const std::string& running, const std::string& ended) {
+    return R"({"clockMs":5,"born":7,"running":[)" + running +
+           R"(],"finished":[)" + ended + "]}";
+}
+
+} // namespace
+// A row nested 200,000 deep, written to the log by a recursive function, ended
+// the process.
+TEST(odd_entries, deeply_nested_rows_of_a_run_list_end_no_process) {
+    const std::string good = R"(["j.0.0.0",1,"",5])";
+    for (const std::string& odd : {deep_list(), deep_object()}) {
+        expect_survives(
+            [&] { decode_run_list(run_list(odd + "," + good, "")); });
+        expect_survives([&] { decode_run_list(run_list(good, odd)); });
+    }
+}
+
+TEST(odd_entries, deeply_nested_entries_are_rejected) {
+    for (const std::string& odd : {deep_list(), deep_object()}) {
+        const auto try_all = [&] {
+            EXPECT_THROW(decode_target("t1", odd), decode_error);
+            EXPECT_FALSE(accepts({.labels = odd}));
+            EXPECT_FALSE(accepts({.labels = "[" + odd + "]"}));
+            EXPECT_FALSE(accepts({.cpu = odd}));
+            EXPECT_FALSE(accepts({.more = R"(,"unknown":)" + odd}));
+            EXPECT_THROW(decode_config(R"({"routes":[)" + odd + "]}"),
+                         decode_error);
+            EXPECT_THROW(decode_job(R"({"jobSteps":[)" + odd + "]}"),
+                         decode_error);
+            EXPECT_THROW(decode_newest(R"({"end":1,"items":[)" + odd + "]}"),
+                         decode_error);
+            EXPECT_THROW(decode_job_record(odd), decode_error);
+            EXPECT_THROW(decode_member(odd), decode_error);
+            EXPECT_THROW(decode_owner(odd), decode_error);
+            if (::testing::Test::HasFailure())
+                _exit(1);
+        };
+        expect_survives(try_all);
+    }
+    EXPECT_TRUE(accepts({}));
+}
+
+TEST(odd_entries, brackets_in_strings_do_not_count_as_nesting) {
+    const std::string brackets = repeated("[", DEPTH);
+    EXPECT_TRUE(accepts({.more = R"(,"text":"\"\\)" + brackets + "\""}));
+}
