Check the range of numbers in lists of runs

Cause: run numbers were cut to 32 bits, so that 2^32 + 1 stood for run 1, and large fractions were converted to integers, which is undefined.

--- a/tests/odd_entries_test.cpp
+++ b/tests/odd_entries_test.cpp
@@ -139,3 +139,53 @@
     const std::string brackets = repeated("[", DEPTH);
     EXPECT_TRUE(accepts({.more = R"(,"text":"\"\\)" + brackets + "\""}));
 }
+
+// A run number was cut to 32 bits, so 2^32 + 1 stood for run 1; the conversion
+// of a large fraction to an integer was undefined.
+TEST(odd_entries, rows_with_numbers_out_of_range_are_skipped) {
+    for (const char* odd : {"1e300", "-1e300", "9223372036854775808",
+                            "18446744073709551616", "-9223372036854775809",
+                            "4294967297", "0", "-1", "1.5", "null", "\"1\""}) {
+        SCOPED_TRACE(odd);
+        const std::string number = odd;
+        const auto list = decode_run_list(
+            run_list(R"(["j.0.0.0",)" + number + R"(,"",5])",
+                     R"([1,"j.0.0.0",)" + number + R"(,"done",""])"));
+        EXPECT_TRUE(list.running.empty());
+        EXPECT_TRUE(list.ended.empty());
+        EXPECT_EQ(list.incarnation, 7);
+    }
+    for (const char* odd : {"1e300", "9223372036854775808", "0", "-1", "1.5",
+                            "18446744073709551615"}) {
+        SCOPED_TRACE(odd);
+        EXPECT_TRUE(
+            decode_run_list(run_list("", "[" + std::string(odd) +
+                                             R"(,"j.0.0.0",1,"done",""])"))
+                .ended.empty());
+    }
+}
+
+TEST(odd_entries, measurements_out_of_range_are_bounded) {
+    for (const char* odd : {"1e300", "-1e300", "18446744073709551615", "-5"}) {
+        SCOPED_TRACE(odd);
+        const auto list = decode_run_list(run_list(
+            R"(["j.0.0.0",1,"",)" + std::string(odd) + "," + odd + "]", ""));
+        ASSERT_EQ(list.running.size(), 1U);
+        EXPECT_GE(list.running[0].percent, 0);
+        EXPECT_LE(list.running[0].percent, 100);
+        EXPECT_GE(list.running[0].measurement, 0);
+        EXPECT_LE(list.running[0].measurement, std::int64_t{1} << 50U);
+    }
+}
+
+TEST(odd_entries, clocks_out_of_range_count_as_missing) {
+    for (const char* odd : {"1e300", "-1", "9223372036854775808",
+                            "18446744073709551615", "2251799813685249"}) {
+        SCOPED_TRACE(odd);
+        const std::string number = odd;
+        const auto list = decode_run_list(R"({"clockMs":)" + number +
+                                          R"(,"born":)" + number + "}");
+        EXPECT_EQ(list.order.clock_ms, 0);
+        EXPECT_EQ(list.incarnation, 0);
+    }
+}
