Reject entries and jobs with values of another type or range

Cause: the start of a target could be a fraction, which was cut off; slots, seq and coldLeftMs were not looked at; an entry without a zone escaped evacuations. The steps that a step depends on were cut to 32 bits, so that 2^32 stood for step 0.

--- a/tests/odd_entries_test.cpp
+++ b/tests/odd_entries_test.cpp
@@ -189,3 +189,49 @@
         EXPECT_EQ(list.incarnation, 0);
     }
 }
+
+TEST(odd_entries, entries_with_numbers_out_of_range_are_rejected) {
+    for (const char* odd : {"1e400", "1e300", "-1e300", "9223372036854775808",
+                            "18446744073709551616", "-9223372036854775809",
+                            "-1", "true", "{}", "\"8\""}) {
+        SCOPED_TRACE(odd);
+        EXPECT_FALSE(accepts({.born = odd}));
+        EXPECT_FALSE(accepts({.cpu = odd}));
+    }
+    // A fraction of a millisecond can't tell two incarnations apart.
+    EXPECT_FALSE(accepts({.born = "1733366763000.5"}));
+    EXPECT_TRUE(accepts({.cpu = "8000.5"}));
+    for (const char* name : {"slots", "seq", "coldLeftMs"})
+        for (const char* odd :
+             {"1e400", "1e300", "18446744073709551616", "\"8\"", "[]"}) {
+            SCOPED_TRACE(std::string(name) + " " + odd);
+            EXPECT_FALSE(
+                accepts({.more = ",\"" + std::string(name) + "\":" + odd}));
+        }
+}
+
+TEST(odd_entries, predecessors_of_a_step_have_to_precede_it) {
+    for (const char* odd : {"1e300", "-1", "1", "4294967296", "0.5",
+                            "18446744073709551615", "[]"}) {
+        SCOPED_TRACE(odd);
+        EXPECT_THROW(
+            decode_job(R"({"jobSteps":[{"count":1},{"count":1,"after":[)" +
+                       std::string(odd) + "]}]}"),
+            decode_error);
+    }
+    EXPECT_EQ(
+        decode_job(R"({"jobSteps":[{"count":1},{"count":1,"after":[0]}]})")
+            .steps[1]
+            .after,
+        std::vector<int>{0});
+}
+
+TEST(odd_entries, entries_without_a_service_or_data_centre_are_rejected) {
+    const std::string rest =
+        R"("state":"ready","address":"10.1.1.1:80","capacity":{"cpu":1}})";
+    EXPECT_THROW(decode_target("t1", R"({"zone":"dc1",)" + rest), decode_error);
+    EXPECT_THROW(decode_target("t1", R"({"service":"pool",)" + rest),
+                 decode_error);
+    EXPECT_NO_THROW(
+        decode_target("t1", R"({"service":"pool","zone":"dc1",)" + rest));
+}
