Accept only an IP number and a port as address of a target

Cause: any text was used as address. Ports out of range were refused by the HTTP client, but names were passed to the resolver, and text with a path or a header changed the request.

Change: the check of the settings moves to a file of its own and is applied to entries. It also rejects a zero byte, which ended the text it looked at.

--- a/src/base/settings_reader.cpp
+++ b/src/base/settings_reader.cpp
@@ -1,36 +1,12 @@
 #include "base/settings_reader.hpp"
 
+#include "base/address_func.hpp"
 #include "rattan/error_type.hpp"
 
-#include <arpa/inet.h>
-#include <charconv>
-
 namespace rattan {
 
 using nlohmann::json;
 
-namespace {
-
-constexpr int MAX_PORT = 65535;
-
-/** Tells whether a string is an IPv4 address and a port. */
-bool is_address(const std::string& text) {
-    const size_t colon = text.find(':');
-    if (colon == std::string::npos)
-        return false;
-    in_addr parsed{};
-    if (inet_pton(AF_INET, text.substr(0, colon).c_str(), &parsed) != 1)
-        return false;
-    int port = 0;
-    const char* end = text.data() + text.size();
-    const auto [stop, failure] =
-        std::from_chars(text.data() + colon + 1, end, port);
-    return failure == std::errc() && stop == end && port > 0 &&
-           port <= MAX_PORT;
-}
-
-} // namespace
-
 settings_reader::settings_reader(const std::filesystem::path& file)
     : file_(file.string()), document_(load_yaml(file)) {
     if (!document_.value.is_object())
--- a/tests/odd_entries_test.cpp
+++ b/tests/odd_entries_test.cpp
@@ -226,6 +226,59 @@
         std::vector<int>{0});
 }
 
+// Port 99999 was passed to the HTTP client, and a name to the resolver.
+TEST(odd_entries, addresses_are_an_ip_number_and_a_port) {
+    EXPECT_TRUE(accepts({.address = R"("127.0.0.1:1")"}));
+    EXPECT_TRUE(accepts({.address = R"("10.1.1.1:65535")"}));
+    for (const std::string& odd : {std::string("10.1.1.1:99999"),
+                                   std::string("10.1.1.1:65536"),
+                                   std::string("10.1.1.1:0"),
+                                   std::string("10.1.1.1:-1"),
+                                   std::string("10.1.1.1:+80"),
+                                   std::string("10.1.1.1:"),
+                                   std::string("10.1.1.1"),
+                                   std::string(":80"),
+                                   std::string(""),
+                                   std::string("host.example:80"),
+                                   std::string("localhost:80"),
+                                   std::string("10.1.1.1:80/path?x=1"),
+                                   std::string("10.1.1.1:80 "),
+                                   std::string(" 10.1.1.1:80"),
+                                   std::string("a@10.1.1.1:80"),
+                                   std::string("10.1.1.1:80\\r\\nX-Header: 1"),
+                                   std::string("10.1.1.1\\u0000x:80"),
+                                   std::string("[::1]:80"),
+                                   std::string("10.1.1.300:80"),
+                                   std::string("10.1.1.1:99999999999999"),
+                                   repeated("a", DEPTH) + ":80",
+                                   "10.1.1.1:" + repeated("8", DEPTH)}) {
+        SCOPED_TRACE(odd.substr(0, 40));
+        EXPECT_FALSE(accepts({.address = "\"" + odd + "\""}));
+    }
+    for (const char* odd : {"null", "8080", "[]", "{}", "true"}) {
+        SCOPED_TRACE(odd);
+        EXPECT_FALSE(accepts({.address = odd}));
+    }
+}
+
+TEST(odd_entries, errors_name_the_entry_and_the_value) {
+    try {
+        decode_target("t1",
+                      entry_text{.address = R"("10.1.1.1:99999")"}.text());
+        FAIL() << "the address was accepted";
+    } catch (const decode_error& failure) {
+        const std::string text = failure.what();
+        EXPECT_NE(text.find("t1"), std::string::npos) << text;
+        EXPECT_NE(text.find("10.1.1.1:99999"), std::string::npos) << text;
+    }
+    try {
+        decode_target("t1", R"({"state":")" + repeated("x", DEPTH) + R"("})");
+        FAIL() << "the state was accepted";
+    } catch (const decode_error& failure) {
+        EXPECT_LT(std::string(failure.what()).size(), 1000U);
+    }
+}
+
 TEST(odd_entries, entries_without_a_service_or_data_centre_are_rejected) {
     const std::string rest =
         R"("state":"ready","address":"10.1.1.1:80","capacity":{"cpu":1}})";
@@ -235,3 +288,11 @@
     EXPECT_NO_THROW(
         decode_target("t1", R"({"service":"pool","zone":"dc1",)" + rest));
 }
+
+TEST(odd_entries, duplicate_and_empty_keys_of_an_entry_do_no_harm) {
+    EXPECT_TRUE(accepts({.more = R"(,"":1,"":2)"}));
+    EXPECT_FALSE(accepts({.more = R"(,"address":"10.1.1.1:0")"}))
+        << "the last of two equal keys counts";
+    EXPECT_FALSE(accepts({.labels = "[\"a\xff\"]"})) << "invalid UTF-8";
+    EXPECT_FALSE(accepts({.labels = R"(["\ud800"])"})) << "half a pair";
+}
