--- a/src/dispatch/owner_base.cpp
+++ b/src/dispatch/owner_base.cpp
@@ -356,7 +356,7 @@
                            {"live_jobs", live_jobs_.size()},
                            {"jobs", jobs_.all().size()},
                            {"targets", targets}})
-        .dump();
+        .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 } // namespace rattan::dispatch
--- a/standins/fleet_store.cpp
+++ b/standins/fleet_store.cpp
@@ -180,7 +180,7 @@
     return {.body = json({{"items", entries},
                           {"hasMore", at != partition.newest_offsets.end()},
                           {"end", partition.records.size()}})
-                        .dump()};
+                        .dump(-1, ' ', false, json::error_handler_t::replace)};
 }
 
 http_response fleet_store::read_response(const std::string& name,
--- a/tests/odd_entries_test.cpp
+++ b/tests/odd_entries_test.cpp
@@ -289,6 +289,18 @@
         decode_target("t1", R"({"service":"pool","zone":"dc1",)" + rest));
 }
 
+// The id is sent in a header and named in calls for advice; encoding one with
+// invalid UTF-8 as JSON ended the process.
+TEST(odd_entries, ids_with_odd_bytes_are_rejected) {
+    const std::string text = entry_text{}.text();
+    for (const std::string& odd :
+         {std::string(), std::string("t\xff"), std::string("t\r\nX-Header: 1"),
+          std::string("t 1"), std::string("t\0x", 3), std::string("t\xc3\xa9"),
+          std::string(300, 'x')})
+        EXPECT_THROW(decode_target(odd, text), decode_error) << odd;
+    EXPECT_EQ(decode_target("i-7f3a91c2", text).id.value, "i-7f3a91c2");
+}
+
 TEST(odd_entries, duplicate_and_empty_keys_of_an_entry_do_no_harm) {
     EXPECT_TRUE(accepts({.more = R"(,"":1,"":2)"}));
     EXPECT_FALSE(accepts({.more = R"(,"address":"10.1.1.1:0")"}))
--- a/tests/process_front_test.cpp
+++ b/tests/process_front_test.cpp
@@ -248,6 +248,81 @@
              [&] { return call("GET", "", 2, "", "key-2").status == 200; });
 }
 
+// An entry whose key is not valid UTF-8 ended each host that became the owner
+// and asked for advice about it.
+TEST_F(front_process_test, odd_entries_of_targets_end_no_host) {
+    const std::string deep = std::string(100'000, '[');
+    const std::string good_start = R"({"service":"pool","zone":"dc1",)"
+                                   R"("state":"ready","address":")" +
+                                   network_prefix_ + "100:21011\"";
+    const std::string good_end =
+        R"(,"capacity":{"cpu":1000,"memMb":64},"labels":["a"])";
+    const std::vector<std::string> odd_entries{
+        "",
+        "\xff\xfe",
+        "[",
+        "null",
+        deep + std::string(100'000, ']'),
+        R"({"labels":)" + deep + std::string(100'000, ']') + "}",
+        R"({"capacity":{"cpu":)" + deep + std::string(100'000, ']') + "}}",
+        good_start + R"(,"born":1e400)" + good_end + "}",
+        good_start + R"(,"born":1e300)" + good_end + "}",
+        good_start + R"(,"born":18446744073709551616)" + good_end + "}",
+        good_start + R"(,"seq":1e400)" + good_end + "}",
+        good_start + R"(,"capacity":{"cpu":1e300}})",
+        good_start + R"(,"capacity":{"cpu":-9223372036854775809}})",
+        good_start + good_end + R"(,"address":"10.1.1.1:99999"})",
+        good_start + good_end + R"(,"address":"10.1.1.1:0"})",
+        good_start + good_end + R"(,"address":"10.1.1.1:-1"})",
+        good_start + good_end + R"(,"address":":80"})",
+        good_start + good_end + R"(,"address":"10.1.1.1"})",
+        good_start + good_end + R"(,"address":"host.invalid:80"})",
+        good_start + good_end + ",\"address\":\"" + std::string(200'000, 'a') +
+            "\"}",
+        good_start + good_end + R"(,"address":"10.1.1.1:80\r\nA: b"})",
+        good_start + good_end + R"(,"state":7})"};
+    const auto write = [&](const std::string& key, const std::string& value) {
+        EXPECT_EQ(send_http_request(
+                      {.method = "POST",
+                       .url = admin_url(
+                           "/admin/store?topic=keyed.servers&put=" + key),
+                       .body = value})
+                      .status,
+                  200);
+    };
+    const auto expect_all_running = [&] {
+        for (const auto& [host, pid] : hosts_) {
+            int status = 0;
+            ASSERT_EQ(waitpid(pid, &status, WNOHANG), 0)
+                << "host " << host << " ended with status " << status;
+        }
+    };
+    submit(job_name(1), 1, 3, 1500);
+    for (const char* key : {"odd%FF", "t%0D%0AX-Header:%201", "t%201"})
+        write(key, good_start + good_end + "}");
+    int number = 0;
+    for (const std::string& entry : odd_entries) {
+        write("odd" + std::to_string(++number), entry);
+        write("t0", entry); // Until the target writes its entry again.
+    }
+    for (int i = 2; i < 8; ++i)
+        submit(job_name(i), 1 + i % 3, 3, 100);
+    for (int i = 1; i < 8; ++i)
+        wait_for("completion",
+                 [&] { return job_state(job_name(i), 1) == "completed"; });
+    expect_all_running();
+    // The next owner reads the entries as a snapshot.
+    const int old_owner = owner_host();
+    ASSERT_NE(old_owner, 0);
+    kill_process(hosts_.at(old_owner));
+    hosts_.erase(old_owner);
+    const int other = hosts_.begin()->first;
+    submit(job_name(20), other, 3, 100);
+    wait_for("completion of the later job",
+             [&] { return job_state(job_name(20), other) == "completed"; });
+    expect_all_running();
+}
+
 TEST_F(front_process_test, jobs_continue_after_the_owner_is_killed) {
     submit(job_name(50), 2, 4, 0, true);
     for (int i = 0; i < 6; ++i)
