Decode each record of a page of the store on its own

Cause: one item that could not be decoded made its page unreadable, and the host that loads the topic read the same page again for ever. An append refused with a reason that is not a string threw past the event loop.

Change: odd items are logged and skipped, and loading goes on after the last key of the page even if none of its records could be read. Invalid UTF-8 in a page is replaced. Offsets beyond 63 bits make an answer unreadable.

--- a/src/base/json_input_func.hpp
+++ b/src/base/json_input_func.hpp
@@ -23,6 +23,9 @@
  */
 nlohmann::json parse_json(std::string_view text);
 
+/** Replaces bytes that are not valid UTF-8 by the replacement character. */
+std::string replace_invalid_utf8(const std::string& text);
+
 /** The value of a whole number from `low` to `high`; empty for all else. */
 std::optional<std::int64_t> whole_number(const nlohmann::json& value,
                                          std::int64_t low, std::int64_t high);
--- a/src/front/topic_follower.cpp
+++ b/src/front/topic_follower.cpp
@@ -47,12 +47,13 @@
                           return call_later(RETRY_DELAY,
                                             [this, after] { load(after); });
                       note_answer(sent_at);
-                      handle_page(page, after.empty());
+                      handle_page(page, after);
                   });
 }
 
-void topic_follower::handle_page(const newest_answer& page, bool first) {
-    if (first) {
+void topic_follower::handle_page(const newest_answer& page,
+                                 const std::string& after) {
+    if (after.empty()) {
         loading_keys_.clear();
         next_offset_ = page.end_offset;
     }
@@ -63,8 +64,8 @@
         if (alive.expired())
             return;
     }
-    if (page.has_more && !page.records.empty())
-        return load(page.records.back().key);
+    if (page.has_more && !page.last_key.empty() && page.last_key != after)
+        return load(page.last_key);
     std::erase_if(newest_offsets_, [this](const auto& item) {
         return !loading_keys_.contains(item.first);
     });
--- a/src/front/topic_follower.hpp
+++ b/src/front/topic_follower.hpp
@@ -59,7 +59,8 @@
 private:
     /** Loads a page of the snapshot. @param after Last key loaded so far. */
     void load(const std::string& after);
-    void handle_page(const platform::newest_answer& page, bool first);
+    void handle_page(const platform::newest_answer& page,
+                     const std::string& after);
     void read();
     void handle_record(const platform::keyed_record& record);
     void note_answer(mono_time sent_at);
--- a/tests/odd_entries_test.cpp
+++ b/tests/odd_entries_test.cpp
@@ -308,3 +308,56 @@
     EXPECT_FALSE(accepts({.labels = "[\"a\xff\"]"})) << "invalid UTF-8";
     EXPECT_FALSE(accepts({.labels = R"(["\ud800"])"})) << "half a pair";
 }
+
+// An append refused with a reason that is not a string ended the process.
+TEST(odd_entries, refused_appends_with_an_odd_reason_are_out_of_order) {
+    for (const char* odd : {"5", "null", "[]", "{}", "true"}) {
+        SCOPED_TRACE(odd);
+        const append_answer answer = decode_append_answer(
+            {.outcome = http_outcome::answered,
+             .status = 409,
+             .body = R"({"seq":3,"reason":)" + std::string(odd) + "}"});
+        EXPECT_EQ(answer.result, store_result::out_of_order);
+        EXPECT_EQ(answer.expected_sequence, 3);
+    }
+    EXPECT_EQ(decode_append_answer({.outcome = http_outcome::answered,
+                                    .status = 409,
+                                    .body = R"({"reason":"fenced"})"})
+                  .result,
+              store_result::fenced);
+}
+
+// One item that can't be decoded made the whole page unreadable; a host that
+// loads the list then read the same page again for ever.
+TEST(odd_entries, an_odd_item_of_a_page_hides_no_other) {
+    const std::string good = R"({"key":"t1","value":"YWI=","offset":4})";
+    for (const std::string& odd :
+         {std::string("7"), std::string("{}"), std::string("null"),
+          std::string(R"({"key":5,"value":"YWI=","offset":3})"),
+          std::string(R"({"key":"t0","value":7,"offset":3})"),
+          std::string(R"({"key":"t0","value":"%%%%","offset":3})"),
+          std::string(R"({"key":"t0","value":"YWI=","offset":1e300})"),
+          std::string(R"({"key":"t0","value":"YWI=","offset":-1})"),
+          std::string(
+              R"({"key":"t0","value":"YWI=","offset":18446744073709551615})"),
+          std::string(
+              "{\"key\":\"t\xff\",\"value\":\"YWI=\",\"offset\":-3}")}) {
+        SCOPED_TRACE(odd);
+        newest_answer page;
+        ASSERT_NO_THROW(page = decode_newest(R"({"end":5,"items":[)" + odd +
+                                             "," + good + "]}"));
+        ASSERT_EQ(page.records.size(), 1U);
+        EXPECT_EQ(page.records[0].key, "t1");
+        EXPECT_EQ(page.records[0].value, "ab");
+        EXPECT_EQ(page.last_key, "t1");
+    }
+    EXPECT_THROW(decode_newest(R"({"end":1e300,"items":[]})"), decode_error);
+    EXPECT_THROW(decode_newest(R"({"end":5,"items":7})"), decode_error);
+}
+
+TEST(odd_entries, offsets_out_of_range_make_a_read_unreadable) {
+    EXPECT_THROW(decode_read(std::string(16, '\xff'), 0), decode_error);
+    const std::string record("\0\0\0\2\1k", 6);
+    EXPECT_EQ(decode_read(std::string(16, '\0') + record, 0).records.size(),
+              1U);
+}
