Give a target with a malformed entry no new work

Cause: a malformed entry was skipped, so a target kept the work that its last valid entry allowed.

Change: the target counts as draining until its next valid entry; its lease is renewed and its runs stay. The entry that allows work again starts a placement round, since waiting tasks had to wait for another event.

Measured: owner_order tests pass; without the new round the first of them failed.

--- a/src/dispatch/owner_base.cpp
+++ b/src/dispatch/owner_base.cpp
@@ -69,6 +69,9 @@
     const target_state* known = targets_.find(entry.id);
     const bool is_new = known == nullptr;
     const std::int64_t old_incarnation = is_new ? 0 : known->entry.incarnation;
+    // Waiting tasks may start on a target that accepts work again.
+    if (!is_new && known->entry.draining && !entry.draining)
+        schedule_due_ = true;
     target_state& target = targets_.add_or_update(entry);
     if (is_new) {
         target.next_poll = clock.now;
@@ -84,6 +87,12 @@
         target.entry.incarnation = old_incarnation;
 }
 
+void owner::target_unreadable(const target_id& id) {
+    // Its runs go on, and the next valid entry takes the place of this one.
+    if (target_state* target = targets_.find(id))
+        target->entry.draining = true;
+}
+
 void owner::target_delisted(const target_id& target) {
     targets_.mark_delisted(target);
 }
--- a/src/dispatch/owner_base.hpp
+++ b/src/dispatch/owner_base.hpp
@@ -92,6 +92,8 @@
     void set_hosts(const std::vector<host_id>& hosts);
     /** A target's entry in the platform's list is new or has changed. */
     void target_listed(const target_entry& entry, const owner_clock& clock);
+    /** The entry of a target is malformed: the target receives no new work. */
+    void target_unreadable(const target_id& target);
     void target_delisted(const target_id& target);
     /** A job was accepted; repeated calls have no effect. */
     void job_accepted(job_record record, const owner_clock& clock);
--- a/src/front/owner_service.cpp
+++ b/src/front/owner_service.cpp
@@ -314,6 +314,7 @@
         } catch (const decode_error& failure) {
             log_event(log_level::warning, "target_entry_skipped",
                       {{"target", record.key}, {"cause", failure.what()}});
+            owner_.target_unreadable({record.key});
         }
     }
     schedule_tick();
--- /dev/null
+++ b/tests/owner_order_test.cpp
@@ -0,0 +1,146 @@
+/** @file Orders of an owner to one target, event by event. */
+#include "dispatch/owner_base.hpp"
+
+#include <gtest/gtest.h>
+
+using namespace rattan;
+using namespace rattan::dispatch;
+
+namespace {
+
+const target_id TARGET{"t1"};
+constexpr std::int64_t WALL_MS = 1'700'000'000'000;
+constexpr std::int64_t INCARNATION = 5;
+
+/** Records the orders of an owner. */
+struct order_log : owner_output {
+    void start(const target_address&, const start_order& order) override {
+        starts.push_back(order);
+    }
+    void stop(const target_address&, const task_id& task, std::int32_t,
+              std::int64_t) override {
+        stops.push_back(task);
+    }
+    void throttle(const target_address&, const task_id& task, std::int32_t,
+                  int percent, std::int64_t) override {
+        speeds.emplace_back(task, percent);
+    }
+    void poll(const target_address&, const poll_order& order) override {
+        polls.push_back(order);
+    }
+    void ask_advice(const host_id&, const step_ref&,
+                    const std::vector<std::string>&, millis) override {}
+    void store(const std::vector<store_record>& records) override {
+        stored = records;
+        ++store_calls;
+    }
+    void remove_jobs(const std::vector<job_id>&) override {}
+    void log(std::string_view, const job_id&, const std::string&) override {}
+
+    std::vector<start_order> starts;
+    std::vector<task_id> stops;
+    std::vector<std::pair<task_id, int>> speeds;
+    std::vector<poll_order> polls;
+    std::vector<store_record> stored;
+    int store_calls = 0;
+};
+
+/** An owner with one queue and one target. */
+class owner_order : public ::testing::Test {
+protected:
+    void SetUp() override {
+        under_test.set_config(
+            {.version = 1,
+             .queues = {{.name = {"q"}, .service = {"pool"}, .stretch = 2}}});
+        under_test.target_listed(entry(), clock());
+        under_test.take_over(clock());
+        under_test.ownership_confirmed(clock().now);
+        tick();
+        answer_poll({});
+    }
+
+    [[nodiscard]] static target_entry entry() {
+        return {.id = TARGET,
+                .address = "10.1.1.1:80",
+                .data_centre = {"dc1"},
+                .service = {"pool"},
+                .capacity = {8000, 1000, 0},
+                .incarnation = INCARNATION};
+    }
+
+    [[nodiscard]] owner_clock clock() const {
+        return {.now = mono_time(millis(now_ms)), .wall_ms = WALL_MS + now_ms};
+    }
+
+    /** Lets some time pass, confirms the records and does what is due. */
+    void tick() {
+        now_ms += 50;
+        under_test.ownership_confirmed(clock().now);
+        under_test.tick(clock());
+        if (output.store_calls > stored_calls) {
+            stored_calls = output.store_calls;
+            under_test.records_stored(clock());
+        }
+    }
+
+    void answer_poll(std::vector<listed_run> running) {
+        under_test.poll_answered(TARGET,
+                                 {.order = {.answered = true,
+                                            .sent = true,
+                                            .done = true,
+                                            .clock_ms = now_ms},
+                                  .incarnation = INCARNATION,
+                                  .running = std::move(running)},
+                                 clock().now, clock());
+        tick();
+    }
+
+    void accept(const std::string& id, step_spec step) {
+        step.count = 1;
+        step.demand = {1000, 10, 0};
+        job_record record{.id = {id}, .queue = {"q"}};
+        record.spec.steps = {std::move(step)};
+        record.accepted_ms = clock().wall_ms;
+        under_test.job_accepted(std::move(record), clock());
+        tick();
+    }
+
+    void confirm_start(const start_order& order) {
+        under_test.start_answered(
+            TARGET, order.task, order.run,
+            {.answered = true, .sent = true, .done = true, .clock_ms = now_ms},
+            clock());
+        tick();
+    }
+
+    std::int64_t now_ms = 1000;
+    int stored_calls = 0;
+    order_log output;
+    owner under_test{{.epoch = 3}, output};
+};
+
+} // namespace
+
+TEST_F(owner_order, malformed_entry_of_a_target_stops_new_work_only) {
+    accept("first", {.estimate = millis(1000)});
+    ASSERT_EQ(output.starts.size(), 1U);
+    confirm_start(output.starts[0]);
+    under_test.target_unreadable(TARGET);
+    accept("second", {.estimate = millis(1000)});
+    EXPECT_EQ(output.starts.size(), 1U);
+    EXPECT_TRUE(output.stops.empty());
+    const auto& runs = under_test.targets().all().at(TARGET).runs;
+    EXPECT_TRUE(runs.contains(task_id{{{"first"}, 0, 0}, 0}));
+    const std::size_t polls = output.polls.size();
+    answer_poll({{.task = output.starts[0].task, .run = 1}});
+    EXPECT_GT(output.polls.size(), polls) << "its lease is still renewed";
+    under_test.target_listed(entry(), clock());
+    for (int i = 0; i < 20 && output.starts.size() < 2; ++i)
+        answer_poll({{.task = output.starts[0].task, .run = 1}});
+    EXPECT_EQ(output.starts.size(), 2U) << "a valid entry allows new work";
+}
+
+TEST_F(owner_order, malformed_entry_of_an_unknown_target_is_ignored) {
+    under_test.target_unreadable({"t9"});
+    EXPECT_EQ(under_test.targets().all().size(), 1U);
+}
