Check the numbers of stored jobs and progress

Cause: a stored count, phase, state or index was used as it was: as the size of a list, as an index, or as an enumeration value that indexes the names of states. A progress record with a key of less than two bytes threw past the event loop while an owner loaded. A job of 1,000 steps with 10,000 tasks each was accepted, and its owner takes the memory of all of them at once.

Change: numbers out of range make the record unreadable. A job has at most 2,500 tasks.

--- a/src/dispatch/dispatch_type.hpp
+++ b/src/dispatch/dispatch_type.hpp
@@ -40,6 +40,9 @@
     std::int32_t max_unavailable = 0; ///< 0: no limit.
 };
 
+/** The progress of so many tasks fits into one record of the store. */
+constexpr std::int32_t MAX_TASKS_PER_JOB = 2'500;
+
 /** A job as submitted. */
 struct job_spec {
     std::string payload; ///< Passed to each task unchanged.
--- a/src/dispatch/record_codec.cpp
+++ b/src/dispatch/record_codec.cpp
@@ -4,6 +4,8 @@
 #include "rattan/error_type.hpp"
 #include "rattan/json_func.hpp"
 
+#include <limits>
+
 namespace rattan::dispatch {
 
 using nlohmann::json;
@@ -16,6 +18,35 @@
  */
 constexpr millis RUNS_GONE_AFTER{30'000};
 
+constexpr std::int64_t MAX_INTEGER = std::int64_t{1} << 50U;
+constexpr std::int64_t MAX_REPEATS = 1 << 20;
+/** The next number of a run has to fit into 32 bits as well. */
+constexpr std::int64_t MAX_RUN = 1 << 30;
+constexpr size_t MAX_JOB_ID_BYTES = 128;
+/** Tasks of all repeats in progress; bounds the memory that a record takes. */
+constexpr std::int64_t MAX_RESTORED_TASKS = 100'000;
+
+/** Whole number at an index of a list. @throw decode_error. */
+std::int64_t integer_at(const json& row, size_t index, std::int64_t high) {
+    const auto number = whole_number(row.at(index), 0, high);
+    if (!number)
+        throw decode_error("element " + std::to_string(index) + " is " +
+                           excerpt(row.at(index)) +
+                           "; it must be a whole number from 0 to " +
+                           std::to_string(high));
+    return *number;
+}
+
+std::int32_t small_integer_at(const json& row, size_t index,
+                              std::int64_t high) {
+    return static_cast<std::int32_t>(integer_at(row, index, high));
+}
+
+job_state state_at(const json& row, size_t index) {
+    return static_cast<job_state>(integer_at(
+        row, index, static_cast<std::int64_t>(job_state::cancelled)));
+}
+
 /** Runs a decoder and converts its exceptions to `decode_error`. */
 template <typename Decode>
 auto decoding(const char* what, const std::string& text, Decode decode) {
@@ -41,13 +72,22 @@
          step.tail_latency_target.count(), step.max_unavailable});
 }
 
-step_spec decode_step(const json& row) {
-    return {.count = row.at(0).get<std::int32_t>(),
-            .demand = {.milli_cores = row.at(1).get<std::int64_t>(),
-                       .memory_mib = row.at(2).get<std::int64_t>(),
-                       .accelerators = row.at(3).get<std::int64_t>()},
-            .estimate = millis(row.at(4).get<std::int64_t>()),
-            .after = row.at(5).get<std::vector<int>>(),
+/** Decodes a list of whole numbers. */
+std::vector<std::int32_t> decode_numbers(const json& row, std::int64_t high) {
+    std::vector<std::int32_t> out;
+    for (size_t i = 0; i < row.size(); ++i)
+        out.push_back(small_integer_at(row, i, high));
+    return out;
+}
+
+step_spec decode_step(const json& row, size_t number) {
+    return {.count = small_integer_at(row, 0, MAX_TASKS_PER_JOB),
+            .demand = {.milli_cores = integer_at(row, 1, MAX_INTEGER),
+                       .memory_mib = integer_at(row, 2, MAX_INTEGER),
+                       .accelerators = integer_at(row, 3, MAX_INTEGER)},
+            .estimate = millis(integer_at(row, 4, MAX_INTEGER)),
+            .after = decode_numbers(row.at(5),
+                                    static_cast<std::int64_t>(number) - 1),
             .checkpoints = row.at(6).get<bool>(),
             .gang = row.at(7).get<bool>(),
             .same_rack = row.at(8).get<bool>(),
@@ -56,10 +96,10 @@
             .best_effort = row.at(11).get<bool>(),
             .required_label = row.at(12).get<std::string>(),
             .preferred_rack = row.at(13).get<std::string>(),
-            .max_tasks_per_target = row.at(14).get<std::int32_t>(),
+            .max_tasks_per_target = small_integer_at(row, 14, MAX_RUN),
             .image = row.at(15).get<std::string>(),
-            .tail_latency_target = millis(row.at(16).get<std::int64_t>()),
-            .max_unavailable = row.at(17).get<std::int32_t>()};
+            .tail_latency_target = millis(integer_at(row, 16, MAX_INTEGER)),
+            .max_unavailable = small_integer_at(row, 17, MAX_RUN)};
 }
 
 json encode_task(size_t index, const task_entry& task) {
@@ -78,16 +118,21 @@
 }
 
 void decode_tasks(const json& in, step_entry& step) {
-    step.failed_runs = in.at(0).get<std::int32_t>();
-    step.last_failed_run = in.at(1).get<std::int32_t>();
+    step.failed_runs = small_integer_at(in, 0, MAX_RUN);
+    step.last_failed_run = small_integer_at(in, 1, MAX_RUN);
     for (const json& row : in.at(2)) {
-        task_entry& task = step.tasks.at(row.at(0).get<size_t>());
-        task.phase = static_cast<task_phase>(row.at(1).get<int>());
-        task.run = row.at(2).get<std::int32_t>();
-        task.failed = row.at(3).get<std::vector<std::int32_t>>();
+        task_entry& task =
+            step.tasks.at(static_cast<size_t>(integer_at(row, 0, MAX_RUN)));
+        if (task.run > 0 || task.phase != task_phase::waiting)
+            throw decode_error("task " + excerpt(row.at(0)) +
+                               " is listed twice");
+        task.phase = static_cast<task_phase>(
+            integer_at(row, 1, static_cast<std::int64_t>(task_phase::done)));
+        task.run = small_integer_at(row, 2, MAX_RUN);
+        task.failed = decode_numbers(row.at(3), MAX_RUN);
         task.checkpoint = row.at(4).get<std::string>();
         task.target = row.at(5).get<target_id>();
-        task.incarnation = row.at(6).get<std::int64_t>();
+        task.incarnation = integer_at(row, 6, MAX_INTEGER);
         if (task.phase != task_phase::waiting)
             --step.waiting;
         if (task.phase == task_phase::done)
@@ -95,6 +140,36 @@
     }
 }
 
+/** Creates the repeats in progress of a job from their encoding. */
+void decode_repeats(const json& rows, job_entry& job) {
+    std::int64_t tasks = 0;
+    for (const json& row : rows) {
+        const std::int32_t number_of_repeat =
+            small_integer_at(row, 0, MAX_REPEATS);
+        const auto [position, is_new] =
+            job.repeats.try_emplace(number_of_repeat);
+        if (!is_new)
+            throw decode_error("repeat " + std::to_string(number_of_repeat) +
+                               " is listed twice");
+        repeat_entry& repeat = position->second;
+        size_t number = 0;
+        for (const step_spec& spec : job.record.spec.steps) {
+            tasks += spec.count;
+            if (tasks > MAX_RESTORED_TASKS)
+                throw decode_error("more than " +
+                                   std::to_string(MAX_RESTORED_TASKS) +
+                                   " tasks in progress");
+            step_entry step;
+            step.tasks.resize(static_cast<size_t>(spec.count));
+            step.waiting = spec.count;
+            decode_tasks(row.at(1).at(number++), step);
+            if (step.done == spec.count)
+                ++repeat.steps_done;
+            repeat.steps.push_back(std::move(step));
+        }
+    }
+}
+
 } // namespace
 
 std::string encode_job(const job_record& record) {
@@ -115,12 +190,24 @@
             .queue = in.at(1).get<queue_id>(),
             .organisation = in.at(2).get<organisation_id>(),
             .spec = {.payload = in.at(4).get<std::string>(),
-                     .repeats = in.at(5).get<std::int32_t>(),
-                     .first_due_ms = in.at(6).get<std::int64_t>(),
-                     .interval = millis(in.at(7).get<std::int64_t>())},
-            .accepted_ms = in.at(3).get<std::int64_t>()};
-        for (const json& row : in.at(8))
-            record.spec.steps.push_back(decode_step(row));
+                     .repeats = small_integer_at(in, 5, MAX_REPEATS),
+                     .first_due_ms = integer_at(in, 6, MAX_INTEGER),
+                     .interval = millis(integer_at(in, 7, MAX_INTEGER))},
+            .accepted_ms = integer_at(in, 3, MAX_INTEGER)};
+        if (record.id.value.size() > MAX_JOB_ID_BYTES)
+            throw decode_error(
+                "job id has " + std::to_string(record.id.value.size()) +
+                " bytes; the limit is " + std::to_string(MAX_JOB_ID_BYTES));
+        std::int64_t tasks = 0;
+        for (const json& row : in.at(8)) {
+            record.spec.steps.push_back(
+                decode_step(row, record.spec.steps.size()));
+            tasks += record.spec.steps.back().count;
+        }
+        if (tasks > MAX_TASKS_PER_JOB)
+            throw decode_error("job has " + std::to_string(tasks) +
+                               " tasks; the limit is " +
+                               std::to_string(MAX_TASKS_PER_JOB));
         return record;
     });
 }
@@ -137,13 +224,12 @@
     return json::array({static_cast<int>(job.state), job.ended_ms,
                         job.repeats_done, job.next_repeat, std::move(repeats),
                         job.record.organisation})
-        .dump();
+        .dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 job_state decode_progress_state(const std::string& text) {
-    return decoding("progress", text, [](const json& in) {
-        return static_cast<job_state>(in.at(0).get<int>());
-    });
+    return decoding("progress", text,
+                    [](const json& in) { return state_at(in, 0); });
 }
 
 std::optional<job_entry> decode_ended_job(const job_id& id,
@@ -153,8 +239,8 @@
         job_entry job{
             .record = {.id = id,
                        .organisation = in.at(5).get<organisation_id>()},
-            .state = static_cast<job_state>(in.at(0).get<int>()),
-            .ended_ms = in.at(1).get<std::int64_t>()};
+            .state = state_at(in, 0),
+            .ended_ms = integer_at(in, 1, MAX_INTEGER)};
         // Runs of a recently ended job may still exist and use resources.
         const bool long_over =
             job.ended() && job.ended_ms + RUNS_GONE_AFTER.count() < wall_ms;
@@ -164,23 +250,11 @@
 
 void apply_progress(job_entry& job, const std::string& text) {
     decoding("progress", text, [&](const json& in) {
-        job.state = static_cast<job_state>(in.at(0).get<int>());
-        job.ended_ms = in.at(1).get<std::int64_t>();
-        job.repeats_done = in.at(2).get<std::int32_t>();
-        job.next_repeat = in.at(3).get<std::int32_t>();
-        for (const json& row : in.at(4)) {
-            repeat_entry& repeat = job.repeats[row.at(0).get<std::int32_t>()];
-            size_t number = 0;
-            for (const step_spec& spec : job.record.spec.steps) {
-                step_entry step;
-                step.tasks.resize(static_cast<size_t>(spec.count));
-                step.waiting = spec.count;
-                decode_tasks(row.at(1).at(number++), step);
-                if (step.done == spec.count)
-                    ++repeat.steps_done;
-                repeat.steps.push_back(std::move(step));
-            }
-        }
+        job.state = state_at(in, 0);
+        job.ended_ms = integer_at(in, 1, MAX_INTEGER);
+        job.repeats_done = small_integer_at(in, 2, MAX_REPEATS);
+        job.next_repeat = small_integer_at(in, 3, MAX_REPEATS);
+        decode_repeats(in.at(4), job);
         return 0;
     });
 }
@@ -193,10 +267,10 @@
 
 owner_record decode_owner(const std::string& text) {
     return decoding("owner", text, [](const json& in) {
-        return owner_record{.epoch = in.at(0).get<std::int64_t>(),
+        return owner_record{.epoch = integer_at(in, 0, MAX_INTEGER),
                             .host = in.at(1).get<host_id>(),
                             .address = in.at(2).get<std::string>(),
-                            .incarnation = in.at(3).get<std::int64_t>()};
+                            .incarnation = integer_at(in, 3, MAX_INTEGER)};
     });
 }
 
@@ -211,7 +285,7 @@
         return member_record{.host = in.at(0).get<host_id>(),
                              .data_centre = in.at(1).get<data_centre_id>(),
                              .address = in.at(2).get<std::string>(),
-                             .milli_cores = in.at(3).get<std::int64_t>()};
+                             .milli_cores = integer_at(in, 3, MAX_INTEGER)};
     });
 }
 
--- a/src/front/owner_service.cpp
+++ b/src/front/owner_service.cpp
@@ -198,6 +198,8 @@
 }
 
 void owner_service::handle_progress_record(const keyed_record& record) {
+    if (record.key.size() <= KEY_PREFIX_BYTES || record.value.empty())
+        return;
     try {
         auto [stamp, value] = split_progress(record.value);
         loaded_progress& newest =
--- a/tests/odd_entries_test.cpp
+++ b/tests/odd_entries_test.cpp
@@ -361,3 +361,110 @@
     EXPECT_EQ(decode_read(std::string(16, '\0') + record, 0).records.size(),
               1U);
 }
+
+namespace {
+
+job_record stored_job() {
+    job_record record{.id = {"job"}, .queue = {"q"}, .spec = {.payload = "p"}};
+    record.spec.steps = {{.count = 2}, {.count = 1, .after = {0}}};
+    return record;
+}
+
+/** The encoding of `stored_job` with one piece of text replaced. */
+std::string stored_job_with(const std::string& from, const std::string& to) {
+    std::string text = encode_job(stored_job());
+    const size_t at = text.find(from);
+    EXPECT_NE(at, std::string::npos) << text;
+    return text.replace(at, from.size(), to);
+}
+
+job_entry entry_with_progress(const std::string& progress) {
+    job_entry job{.record = stored_job()};
+    apply_progress(job, progress);
+    return job;
+}
+
+} // namespace
+
+// A stored count was used as the size of a list before it was checked.
+TEST(odd_entries, stored_jobs_with_numbers_out_of_range_are_rejected) {
+    EXPECT_EQ(decode_job_record(encode_job(stored_job())).spec.steps.size(),
+              2U);
+    for (const char* odd : {"-1", "2147483647", "1e300", "4294967298",
+                            "18446744073709551615", "2.5", "null"}) {
+        SCOPED_TRACE(odd);
+        EXPECT_THROW(decode_job_record(stored_job_with(
+                         "[[2,", "[[" + std::string(odd) + ",")),
+                     decode_error);
+    }
+    // A step may only depend on earlier ones.
+    for (const char* odd : {"1", "-1", "7", "1e300", "4294967296"})
+        EXPECT_THROW(decode_job_record(stored_job_with(
+                         ",[0],", ",[" + std::string(odd) + "],")),
+                     decode_error)
+            << odd;
+    EXPECT_THROW(decode_job_record(stored_job_with(
+                     "\"job\"", "\"" + std::string(300, 'x') + "\"")),
+                 decode_error)
+        << "the key of its progress would be too long";
+}
+
+// A state out of range was used as an index of the table of state names.
+TEST(odd_entries, stored_progress_with_values_out_of_range_is_rejected) {
+    const std::string good =
+        R"([1,0,0,1,[[0,[[0,0,[[0,1,1,[],"","t1",5]]],[0,0,[]]]]],"a"])";
+    EXPECT_EQ(entry_with_progress(good).repeats.at(0).steps[0].waiting, 1);
+    EXPECT_EQ(decode_progress_state(good), job_state::running);
+    for (const char* odd : {"-1", "5", "99", "1e300", "4294967297", "null"}) {
+        SCOPED_TRACE(odd);
+        const std::string text = "[" + std::string(odd) + good.substr(2);
+        EXPECT_THROW(decode_progress_state(text), decode_error);
+        EXPECT_THROW(entry_with_progress(text), decode_error);
+        EXPECT_THROW(decode_ended_job({"job"}, text, 1), decode_error);
+    }
+    for (const std::string& odd :
+         {// The phase of a task, its run, its index, and a second row of it.
+          std::string(R"([[0,3,1,[],"","t1",5]])"),
+          std::string(R"([[0,1,2147483647,[],"","t1",5]])"),
+          std::string(R"([[0,1,4294967297,[],"","t1",5]])"),
+          std::string(R"([[2,1,1,[],"","t1",5]])"),
+          std::string(R"([[-1,1,1,[],"","t1",5]])"),
+          std::string(R"([[0,1,1,[],"","t1",5],[0,1,1,[],"","t1",5]])"),
+          std::string(R"([[0,1,1,[1e300],"","t1",5]])")}) {
+        SCOPED_TRACE(odd);
+        EXPECT_THROW(entry_with_progress(R"([1,0,0,1,[[0,[[0,0,)" + odd +
+                                         R"(],[0,0,[]]]]],"a"])"),
+                     decode_error);
+    }
+    const std::string repeat = R"([0,[[0,0,[]],[0,0,[]]]])";
+    EXPECT_THROW(
+        entry_with_progress("[1,0,0,1,[" + repeat + "," + repeat + R"(],"a"])"),
+        decode_error)
+        << "a repeat is listed twice";
+}
+
+TEST(odd_entries, stored_progress_of_too_many_tasks_is_rejected) {
+    std::string repeats;
+    for (int i = 0; i < 60; ++i)
+        repeats +=
+            (i > 0 ? "," : "") + ("[" + std::to_string(i)) + ",[[0,0,[]]]]";
+    job_entry job{.record = stored_job()};
+    job.record.spec.steps = {{.count = MAX_TASKS_PER_JOB}};
+    EXPECT_THROW(apply_progress(job, "[1,0,0,60,[" + repeats + R"(],"a"])"),
+                 decode_error);
+}
+
+// The client took the memory of all tasks of a job before any limit applied.
+TEST(odd_entries, jobs_with_too_many_tasks_are_rejected) {
+    const auto job_of = [](int steps, int count) {
+        std::string rows;
+        for (int i = 0; i < steps; ++i)
+            rows += std::string(i > 0 ? "," : "") + R"({"count":)" +
+                    std::to_string(count) + "}";
+        return R"({"jobSteps":[)" + rows + "]}";
+    };
+    EXPECT_NO_THROW(decode_job(job_of(2, MAX_TASKS_PER_JOB / 2)));
+    EXPECT_THROW(decode_job(job_of(2, MAX_TASKS_PER_JOB / 2 + 1)),
+                 decode_error);
+    EXPECT_THROW(decode_job(job_of(1000, 10'000)), decode_error);
+}
