Check the addresses of hosts in the store

Cause: the address of a member or owner record was passed to the RPC client as it was: a name blocks the event loop in the resolver, and a port was cut to 16 bits.

Change: only an IP number and a port is accepted; an owner that has resigned has none.

Measured: the test failed before and passes now.

--- a/src/dispatch/record_codec.cpp
+++ b/src/dispatch/record_codec.cpp
@@ -1,5 +1,6 @@
 #include "dispatch/record_codec.hpp"
 
+#include "base/address_func.hpp"
 #include "base/json_input_func.hpp"
 #include "rattan/error_type.hpp"
 #include "rattan/json_func.hpp"
@@ -47,6 +48,16 @@
         row, index, static_cast<std::int64_t>(job_state::cancelled)));
 }
 
+/** Address of a host; empty is allowed if `optional`. @throw decode_error. */
+std::string address_at(const json& row, size_t index, bool optional) {
+    std::string address = row.at(index).get<std::string>();
+    if (!is_address(address) && !(optional && address.empty()))
+        throw decode_error("address \"" + excerpt(std::string_view(address)) +
+                           "\" is not an IP number and a port from 1 to " +
+                           std::to_string(MAX_PORT));
+    return address;
+}
+
 /** Runs a decoder and converts its exceptions to `decode_error`. */
 template <typename Decode>
 auto decoding(const char* what, const std::string& text, Decode decode) {
@@ -269,7 +280,7 @@
     return decoding("owner", text, [](const json& in) {
         return owner_record{.epoch = integer_at(in, 0, MAX_INTEGER),
                             .host = in.at(1).get<host_id>(),
-                            .address = in.at(2).get<std::string>(),
+                            .address = address_at(in, 2, true),
                             .incarnation = integer_at(in, 3, MAX_INTEGER)};
     });
 }
@@ -284,7 +295,7 @@
     return decoding("member", text, [](const json& in) {
         return member_record{.host = in.at(0).get<host_id>(),
                              .data_centre = in.at(1).get<data_centre_id>(),
-                             .address = in.at(2).get<std::string>(),
+                             .address = address_at(in, 2, false),
                              .milli_cores = integer_at(in, 3, MAX_INTEGER)};
     });
 }
--- a/tests/odd_entries_test.cpp
+++ b/tests/odd_entries_test.cpp
@@ -468,3 +468,35 @@
                  decode_error);
     EXPECT_THROW(decode_job(job_of(1000, 10'000)), decode_error);
 }
+
+// The address was passed to the resolver, which blocks, and its port was cut
+// to 16 bits.
+TEST(odd_entries, stored_addresses_of_hosts_are_checked) {
+    const auto member = [](const std::string& address) {
+        return decode_member(R"(["h1","dc1",")" + address + R"(",250])");
+    };
+    const auto owner = [](const std::string& address) {
+        return decode_owner(R"([1,"h1",")" + address + R"(",5])");
+    };
+    EXPECT_EQ(member("10.1.1.1:7420").address, "10.1.1.1:7420");
+    EXPECT_EQ(owner("10.1.1.1:7420").address, "10.1.1.1:7420");
+    EXPECT_EQ(owner("").address, "") << "a resignation";
+    for (const std::string& odd :
+         {std::string("10.1.1.1:99999"), std::string("10.1.1.1:0"),
+          std::string("10.1.1.1:-1"), std::string("10.1.1.1"),
+          std::string(":80"), std::string("host.invalid:80"),
+          std::string(200'000, 'a')}) {
+        SCOPED_TRACE(odd.substr(0, 40));
+        EXPECT_THROW(member(odd), decode_error);
+        EXPECT_THROW(owner(odd), decode_error);
+    }
+    EXPECT_THROW(member(""), decode_error);
+    for (const char* odd : {"-1", "1e300", "9223372036854775808", "0.5"}) {
+        EXPECT_THROW(decode_owner("[" + std::string(odd) +
+                                  R"(,"h1","10.1.1.1:7420",5])"),
+                     decode_error);
+        EXPECT_THROW(decode_member(R"(["h1","dc1","10.1.1.1:7420",)" +
+                                   std::string(odd) + "]"),
+                     decode_error);
+    }
+}
