Test an owner with odd records of the system's own topics

Cause: only the decoders had tests; that a new owner loads past such records was not shown.

Change: a test writes odd keys and values to the topics of jobs, progress and members and kills the owner.

--- a/tests/process_front_test.cpp
+++ b/tests/process_front_test.cpp
@@ -248,6 +248,54 @@
              [&] { return call("GET", "", 2, "", "key-2").status == 200; });
 }
 
+// An owner ended when it loaded a record of progress with a key of one byte.
+TEST_F(front_process_test, odd_records_of_the_store_end_no_host) {
+    const std::string deep =
+        std::string(100'000, '[') + std::string(100'000, ']');
+    const std::vector<std::string> odd_values{
+        "\xff",
+        "null",
+        "7",
+        deep,
+        "[]",
+        "1 1 [99]",
+        "1 1 " + deep,
+        R"(["h9","dc1","10.1.1.1:99999",1])",
+        R"([1e300,"h9","host.invalid:80",1])",
+        R"(["x","q","a",1,"p",0,0,0,[[2147483647,0]]])"};
+    for (const char* topic :
+         {"keyed.progress", "keyed.jobs", "keyed.members"}) {
+        int number = 0;
+        for (const std::string& value : odd_values)
+            for (const char* prefix : {"", "p/", "j/", "c/", "host/", "%FF"}) {
+                const std::string key = prefix + std::to_string(++number % 10);
+                EXPECT_EQ(
+                    send_http_request(
+                        {.method = "POST",
+                         .url = admin_url("/admin/store?topic=" +
+                                          std::string(topic) + "&put=" + key),
+                         .body = value})
+                        .status,
+                    200);
+            }
+    }
+    submit(job_name(1), 1, 3, 100);
+    const int old_owner = owner_host();
+    ASSERT_NE(old_owner, 0);
+    kill_process(hosts_.at(old_owner));
+    hosts_.erase(old_owner);
+    const int other = hosts_.begin()->first;
+    submit(job_name(2), other, 3, 100);
+    for (int i = 1; i <= 2; ++i)
+        wait_for("completion",
+                 [&] { return job_state(job_name(i), other) == "completed"; });
+    for (const auto& [host, pid] : hosts_) {
+        int status = 0;
+        EXPECT_EQ(waitpid(pid, &status, WNOHANG), 0)
+            << "host " << host << " ended with status " << status;
+    }
+}
+
 // An entry whose key is not valid UTF-8 ended each host that became the owner
 // and asked for advice about it.
 TEST_F(front_process_test, odd_entries_of_targets_end_no_host) {
