Let only a job's organisation cancel it

Cause: a DELETE wrote a record that only named the job, so that any key cancelled every job whose id it knew.

Change: the record also names the organisation that asks, and each one has a key of its own, so that a request of another organisation neither cancels the job nor replaces the record of one that may. The owner and the readers of job states apply the rule of GET. The response is that for an unknown job.

--- a/src/dispatch/dispatch_type.hpp
+++ b/src/dispatch/dispatch_type.hpp
@@ -62,6 +62,12 @@
     std::int64_t accepted_ms = 0; ///< Unix time of the accepting host.
 };
 
+/** Tells whether a requester may see and cancel the jobs of an organisation. */
+inline bool may_access(const organisation_id& requester,
+                       const organisation_id& organisation) {
+    return organisation.empty() || organisation == requester;
+}
+
 /** State of a job as reported to callers. */
 enum class job_state {
     pending,   ///< No task has been placed yet.
--- a/src/dispatch/owner_base.cpp
+++ b/src/dispatch/owner_base.cpp
@@ -4,6 +4,7 @@
 #include "dispatch/route_func.hpp"
 
 #include <nlohmann/json.hpp>
+#include <xxhash.h>
 
 #include <algorithm>
 #include <limits>
@@ -37,6 +38,8 @@
 constexpr double MS_PER_SECOND = 1000;
 /** For jobs whose queue has been removed. */
 constexpr int DEFAULT_MAX_ATTEMPTS = 1;
+const std::string CANCEL_PREFIX = "c/";
+constexpr char CANCEL_SEPARATOR = '/';
 
 } // namespace
 
@@ -44,8 +47,22 @@
     return "j/" + job.value;
 }
 
-std::string cancel_key(const job_id& job) {
-    return "c/" + job.value;
+std::string cancel_key_prefix(const job_id& job) {
+    return CANCEL_PREFIX + job.value + CANCEL_SEPARATOR;
+}
+
+std::string cancel_key(const job_id& job, const organisation_id& requester) {
+    // The hash bounds the length of the key; the record holds the name.
+    return cancel_key_prefix(job) +
+           std::to_string(
+               XXH64(requester.value.data(), requester.value.size(), 0));
+}
+
+std::optional<job_id> cancelled_job(const std::string& key) {
+    const std::size_t end = key.rfind(CANCEL_SEPARATOR);
+    if (!key.starts_with(CANCEL_PREFIX) || end <= CANCEL_PREFIX.size())
+        return std::nullopt;
+    return job_id{key.substr(CANCEL_PREFIX.size(), end - CANCEL_PREFIX.size())};
 }
 
 std::string progress_key(const job_id& job) {
@@ -131,14 +148,22 @@
                 "queue=" + job.record.queue.value + " steps=" +
                     std::to_string(job.record.spec.steps.size()) + " age_ms=" +
                     std::to_string(clock.wall_ms - job.record.accepted_ms));
-    if (early_cancels_.erase(id) > 0)
-        job_cancelled(id, clock);
+    if (const auto early = early_cancels_.extract(id))
+        for (const organisation_id& requester : early.mapped().requesters)
+            job_cancelled(id, requester, clock);
 }
 
-void owner::job_cancelled(const job_id& id, const owner_clock& clock) {
-    if (jobs_.find(id) == nullptr)
-        early_cancels_[id] = clock.wall_ms;
-    if (!jobs_.cancel(id, clock.wall_ms))
+void owner::job_cancelled(const job_id& id, const organisation_id& requester,
+                          const owner_clock& clock) {
+    const job_entry* job = jobs_.find(id);
+    if (job == nullptr) {
+        early_cancel& early = early_cancels_[id];
+        early.at_ms = clock.wall_ms;
+        early.requesters.insert(requester);
+        return;
+    }
+    if (!may_access(requester, job->record.organisation) ||
+        !jobs_.cancel(id, clock.wall_ms))
         return;
     live_jobs_.erase(id);
     output_.log("job_cancelled", id, "");
@@ -232,8 +257,8 @@
     const std::int64_t cutoff_ms =
         clock.wall_ms - (settings_.state_retention + RETENTION_MARGIN).count();
     std::vector<job_id> expired;
-    for (const auto& [id, at] : early_cancels_)
-        if (at < cutoff_ms)
+    for (const auto& [id, early] : early_cancels_)
+        if (early.at_ms < cutoff_ms)
             expired.push_back(id);
     for (const job_id& id : expired)
         early_cancels_.erase(id);
--- a/src/dispatch/owner_base.hpp
+++ b/src/dispatch/owner_base.hpp
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -97,7 +98,12 @@
     void target_delisted(const target_id& target);
     /** A job was accepted; repeated calls have no effect. */
     void job_accepted(job_record record, const owner_clock& clock);
-    void job_cancelled(const job_id& job, const owner_clock& clock);
+    /**
+     * An organisation asked to cancel a job; this has no effect on the jobs of
+     * others.
+     */
+    void job_cancelled(const job_id& job, const organisation_id& requester,
+                       const owner_clock& clock);
     /** Loads a job of an earlier owner before `take_over`. */
     void restore_job(job_entry job, const owner_clock& clock);
     /** The store confirmed that this host was still the owner at `at`. */
@@ -277,11 +283,16 @@
     };
     std::map<organisation_id, rate_bucket> rate_buckets_;
     millis last_tick_duration_{0};
+    /** Requests to cancel a job that is not known. */
+    struct early_cancel {
+        std::int64_t at_ms = 0; ///< Unix time of the last one.
+        std::set<organisation_id> requesters;
+    };
     /**
-     * Jobs cancelled before their acceptance arrived, with the time of the
-     * cancellation. The two take different paths and may overtake each other.
+     * Jobs cancelled before their acceptance arrived. The two take different
+     * paths and may overtake each other.
      */
-    std::map<job_id, std::int64_t> early_cancels_;
+    std::map<job_id, early_cancel> early_cancels_;
     bool store_pending_ = false;
     bool superseded_ = false;
     bool schedule_due_ = false;
@@ -308,7 +319,12 @@
 
 /** Keys of the records of a job in the store. */
 std::string job_key(const job_id& job);
-std::string cancel_key(const job_id& job);
+/** Each organisation that asks has its own key. */
+std::string cancel_key(const job_id& job, const organisation_id& requester);
+/** Common beginning of the keys of all cancellations of a job. */
+std::string cancel_key_prefix(const job_id& job);
+/** Job of the key of a cancellation; empty for any other key. */
+std::optional<job_id> cancelled_job(const std::string& key);
 std::string progress_key(const job_id& job);
 
 } // namespace rattan::dispatch
--- a/src/dispatch/record_codec.cpp
+++ b/src/dispatch/record_codec.cpp
@@ -270,6 +270,15 @@
     });
 }
 
+std::string encode_cancel(const organisation_id& requester) {
+    return json(requester).dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+organisation_id decode_cancel(const std::string& text) {
+    return decoding("cancellation", text,
+                    [](const json& in) { return in.get<organisation_id>(); });
+}
+
 std::string encode_owner(const owner_record& owner) {
     return json::array(
                {owner.epoch, owner.host, owner.address, owner.incarnation})
--- a/src/dispatch/record_codec.hpp
+++ b/src/dispatch/record_codec.hpp
@@ -37,6 +37,10 @@
  */
 void apply_progress(job_entry& job, const std::string& text);
 
+/** Encodes the organisation that asked for a cancellation. */
+std::string encode_cancel(const organisation_id& requester);
+organisation_id decode_cancel(const std::string& text);
+
 /** The owner of the cell. */
 struct owner_record {
     /** Rises with each claim; the fencing token of orders. */
--- a/src/front/front_service.cpp
+++ b/src/front/front_service.cpp
@@ -328,7 +328,8 @@
 }
 
 void front_service::cancel(const std::shared_ptr<pending_request>& pending) {
-    write(pending, cancel_key(pending->job), "1");
+    write(pending, cancel_key(pending->job, pending->organisation),
+          encode_cancel(pending->organisation));
 }
 
 void front_service::shed_idle_connections() {
--- a/src/front/owner_service.cpp
+++ b/src/front/owner_service.cpp
@@ -229,8 +229,8 @@
     progress_writer_.delete_keys(orphans);
     owner_.take_over(at);
     serving_ = true;
-    for (const job_id& id : std::exchange(loaded_cancels_, {}))
-        owner_.job_cancelled(id, at);
+    for (const auto& [id, requester] : std::exchange(loaded_cancels_, {}))
+        owner_.job_cancelled(id, requester, at);
     for (const auto& follower : job_followers_)
         follower->set_read_delay(JOBS_READ_DELAY);
     log_event(log_level::info, "owner_serving",
@@ -286,11 +286,12 @@
         return;
     const job_id id{record.key.substr(KEY_PREFIX_BYTES)};
     try {
-        if (record.key == cancel_key(id)) {
+        if (const auto cancelled = cancelled_job(record.key)) {
+            const organisation_id requester = decode_cancel(record.value);
             if (serving_)
-                owner_.job_cancelled(id, clock());
+                owner_.job_cancelled(*cancelled, requester, clock());
             else
-                loaded_cancels_.insert(id);
+                loaded_cancels_.emplace(*cancelled, requester);
         } else if (record.key == job_key(id)) {
             if (!serving_)
                 loaded_jobs_.try_emplace(id, record.value);
@@ -502,11 +503,15 @@
     };
     for (std::size_t partition = 0; partition < job_followers_.size();
          ++partition) {
+        const topic_follower& follower = *job_followers_[partition];
         std::vector<keyed_record> tombstones;
-        for (const job_id& id : jobs)
-            for (const std::string& key : {job_key(id), cancel_key(id)})
-                if (job_followers_[partition]->has_key(key))
-                    tombstones.push_back({.key = key});
+        for (const job_id& id : jobs) {
+            if (follower.has_key(job_key(id)))
+                tombstones.push_back({.key = job_key(id)});
+            for (const std::string& key :
+                 follower.keys_with_prefix(cancel_key_prefix(id)))
+                tombstones.push_back({.key = key});
+        }
         if (tombstones.empty())
             continue;
         ++*partitions_left;
--- a/src/front/owner_service.hpp
+++ b/src/front/owner_service.hpp
@@ -129,7 +129,7 @@
     std::vector<mono_time> fast_read_until_; ///< By partition.
     std::unique_ptr<topic_follower> target_follower_;
     std::map<job_id, std::string> loaded_jobs_; ///< Encoded records.
-    std::set<job_id> loaded_cancels_;
+    std::set<std::pair<job_id, dispatch::organisation_id>> loaded_cancels_;
     std::map<job_id, loaded_progress> loaded_progress_;
     std::set<std::string> target_keys_;
     int progress_partitions_to_load_ = 0;
--- a/src/front/state_reader.cpp
+++ b/src/front/state_reader.cpp
@@ -48,12 +48,13 @@
 void state_reader::handle_job_record(const keyed_record& record) {
     if (record.key.size() <= KEY_PREFIX_BYTES || record.value.empty())
         return;
-    stored_job& job = jobs_[{record.key.substr(KEY_PREFIX_BYTES)}];
+    const job_id id{record.key.substr(KEY_PREFIX_BYTES)};
     try {
-        if (record.key == cancel_key({record.key.substr(KEY_PREFIX_BYTES)}))
-            job.cancelled = true;
-        else if (!job.organisation)
-            job.organisation = decode_job_record(record.value).organisation;
+        if (const auto cancelled = cancelled_job(record.key))
+            jobs_[*cancelled].cancelled_by.insert(decode_cancel(record.value));
+        else if (record.key == job_key(id) && !jobs_[id].organisation)
+            jobs_[id].organisation =
+                decode_job_record(record.value).organisation;
     } catch (const decode_error& failure) {
         log_event(log_level::error, "job_unreadable",
                   {{"key", record.key}, {"cause", failure.what()}});
@@ -80,13 +81,17 @@
                                  const organisation_id& requester) const {
     const auto found = jobs_.find(id);
     if (found == jobs_.end() || !found->second.organisation ||
-        (!found->second.organisation->empty() &&
-         *found->second.organisation != requester))
+        !may_access(requester, *found->second.organisation))
         return job_state::unknown;
     const stored_job& job = found->second;
+    const bool cancelled =
+        std::any_of(job.cancelled_by.begin(), job.cancelled_by.end(),
+                    [&](const organisation_id& by) {
+                        return may_access(by, *job.organisation);
+                    });
     const bool ended =
         job.state == job_state::completed || job.state == job_state::failed;
-    return job.cancelled && !ended ? job_state::cancelled : job.state;
+    return cancelled && !ended ? job_state::cancelled : job.state;
 }
 
 } // namespace rattan::front
--- a/src/front/state_reader.hpp
+++ b/src/front/state_reader.hpp
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 
 namespace rattan::front {
 
@@ -34,7 +35,8 @@
         std::optional<dispatch::organisation_id> organisation;
         dispatch::job_state state = dispatch::job_state::pending;
         progress_stamp stamp; ///< Of the record that gave the state.
-        bool cancelled = false;
+        /** Organisations that asked to cancel it. */
+        std::set<dispatch::organisation_id> cancelled_by;
     };
 
     void handle_job_record(const platform::keyed_record& record);
--- a/src/front/topic_follower.cpp
+++ b/src/front/topic_follower.cpp
@@ -24,6 +24,17 @@
     : loop_(loop), store_(store), options_(std::move(options)),
       on_record_(std::move(on_record)), on_loaded_(std::move(on_loaded)) {}
 
+std::vector<std::string>
+topic_follower::keys_with_prefix(const std::string& prefix) const {
+    std::vector<std::string> keys;
+    for (auto position = newest_offsets_.lower_bound(prefix);
+         position != newest_offsets_.end() &&
+         position->first.starts_with(prefix);
+         ++position)
+        keys.push_back(position->first);
+    return keys;
+}
+
 void topic_follower::call_later(millis delay, std::function<void()> call) {
     loop_.after(delay, [call = std::move(call), alive = std::weak_ptr(alive_)] {
         if (!alive.expired())
--- a/src/front/topic_follower.hpp
+++ b/src/front/topic_follower.hpp
@@ -9,6 +9,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace rattan::front {
 
@@ -47,6 +48,9 @@
     [[nodiscard]] bool has_key(const std::string& key) const {
         return newest_offsets_.contains(key);
     }
+    /** Keys that begin with a prefix and were not deleted since. */
+    [[nodiscard]] std::vector<std::string>
+    keys_with_prefix(const std::string& prefix) const;
     /** Offset after the last record read. */
     [[nodiscard]] std::int64_t next_offset() const { return next_offset_; }
     /** Send time of the latest call that succeeded. */
--- a/tests/dispatch_load_test.cpp
+++ b/tests/dispatch_load_test.cpp
@@ -287,7 +287,7 @@
         cell->run_until(millis(5000));
         ASSERT_EQ(cell->runs_of(job), 48U);
         cell->ignore_stops(true);
-        cell->owner_under_test().job_cancelled(job, cell->clock());
+        cell->owner_under_test().job_cancelled(job, {"a"}, cell->clock());
         cell->run_until(millis(5000 + wait_s * 1000));
         cell->restart_owner();
         const millis now(5000 + wait_s * 1000);
@@ -302,7 +302,7 @@
 TEST(dispatch_load, cancellation_before_acceptance_stops_the_job) {
     auto cell = make_cell(75);
     const job_id id{"job100000"}; // Id of the first job submitted.
-    cell->owner_under_test().job_cancelled(id, cell->clock());
+    cell->owner_under_test().job_cancelled(id, {"a"}, cell->clock());
     ASSERT_EQ(cell->submit("checks", "a", long_lived_job(4)), id);
     cell->run_until(millis(3000));
     EXPECT_EQ(cell->runs_of(id), 0U);
--- a/tests/owner_order_test.cpp
+++ b/tests/owner_order_test.cpp
@@ -95,10 +95,12 @@
         tick();
     }
 
-    void accept(const std::string& id, step_spec step) {
+    void accept(const std::string& id, step_spec step,
+                const organisation_id& organisation = {}) {
         step.count = 1;
         step.demand = {1000, 10, 0};
-        job_record record{.id = {id}, .queue = {"q"}};
+        job_record record{
+            .id = {id}, .queue = {"q"}, .organisation = organisation};
         record.spec.steps = {std::move(step)};
         record.accepted_ms = clock().wall_ms;
         under_test.job_accepted(std::move(record), clock());
@@ -144,3 +146,42 @@
     under_test.target_unreadable({"t9"});
     EXPECT_EQ(under_test.targets().all().size(), 1U);
 }
+
+// Any organisation could cancel the jobs of every other one.
+TEST_F(owner_order, only_the_organisation_of_a_job_can_cancel_it) {
+    accept("first", {.estimate = millis(1000)}, {"a"});
+    const job_id job{"first"};
+    under_test.job_cancelled(job, {"b"}, clock());
+    under_test.job_cancelled(job, {""}, clock());
+    EXPECT_NE(under_test.state_of(job, {"a"}), job_state::cancelled);
+    under_test.job_cancelled(job, {"a"}, clock());
+    EXPECT_EQ(under_test.state_of(job, {"a"}), job_state::cancelled);
+    EXPECT_EQ(under_test.state_of(job, {"b"}), job_state::unknown);
+}
+
+TEST_F(owner_order, an_early_cancellation_counts_only_for_its_organisation) {
+    under_test.job_cancelled({"first"}, {"b"}, clock());
+    under_test.job_cancelled({"second"}, {"b"}, clock());
+    under_test.job_cancelled({"second"}, {"a"}, clock());
+    accept("first", {.estimate = millis(1000)}, {"a"});
+    accept("second", {.estimate = millis(1000)}, {"a"});
+    EXPECT_NE(under_test.state_of({"first"}, {"a"}), job_state::cancelled);
+    EXPECT_EQ(under_test.state_of({"second"}, {"a"}), job_state::cancelled);
+}
+
+TEST_F(owner_order, anyone_can_cancel_an_anonymous_job) {
+    accept("first", {.estimate = millis(1000)});
+    under_test.job_cancelled({"first"}, {"b"}, clock());
+    EXPECT_EQ(under_test.state_of({"first"}, {}), job_state::cancelled);
+}
+
+TEST(cancel_key, names_the_job_and_is_of_limited_length) {
+    const job_id job{"00000000000000aa"};
+    const std::string key = cancel_key(job, {std::string(5000, 'x')});
+    EXPECT_LT(key.size(), 100U);
+    EXPECT_TRUE(key.starts_with(cancel_key_prefix(job)));
+    EXPECT_EQ(cancelled_job(key), job);
+    EXPECT_NE(key, cancel_key(job, {"b"}));
+    for (const char* other : {"", "c", "c/", "c//5", "j/00000000000000aa"})
+        EXPECT_FALSE(cancelled_job(other)) << other;
+}
--- a/tests/process_front_test.cpp
+++ b/tests/process_front_test.cpp
@@ -115,7 +115,9 @@
         return "http://" + network_prefix_ + "100:21001" + path;
     }
 
-    void put_config(int version, const std::vector<std::string>& keys) {
+    /** @param other_keys Keys of a second organisation. */
+    void put_config(int version, const std::vector<std::string>& keys,
+                    const std::vector<std::string>& other_keys = {}) {
         const json queue = {
             {"name", "q"},
             {"hostname", "shop.example"},
@@ -130,7 +132,9 @@
             {"configVersion", version},
             {"routes", {queue}},
             {"services", {{{"name", "pool"}}}},
-            {"tenants", {{{"name", "a"}, {"apiKeys", keys}, {"weight", 10}}}}};
+            {"tenants",
+             {{{"name", "a"}, {"apiKeys", keys}, {"weight", 10}},
+              {{"name", "b"}, {"apiKeys", other_keys}, {"weight", 10}}}}};
         send_http_request(
             {.method = "POST",
              .url = admin_url("/admin/store?topic=keyed.op&put=config"),
@@ -248,6 +252,39 @@
              [&] { return call("GET", "", 2, "", "key-2").status == 200; });
 }
 
+// Any organisation could cancel the jobs of every other one.
+TEST_F(front_process_test, only_the_organisation_of_a_job_can_cancel_it) {
+    put_config(2, {"key-1"}, {"key-b"});
+    for (int host = 1; host <= 3; ++host)
+        wait_for("the second key to work", [&] {
+            return call("GET", "", host, "", "key-b").status == 200;
+        });
+    for (int i = 1; i <= 3; ++i)
+        submit(job_name(i), i, 2, 0, true);
+    wait_for("all tasks running", [&] { return audit_count("present") == 6; });
+    for (int i = 1; i <= 3; ++i) {
+        const auto foreign = call("DELETE", job_name(i), i, "", "key-b");
+        const auto unknown = call("DELETE", job_name(90 + i), i, "", "key-b");
+        EXPECT_EQ(foreign.status, unknown.status);
+        EXPECT_EQ(foreign.body, unknown.body);
+    }
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+    EXPECT_EQ(audit_count("present"), 6);
+    const int old_owner = owner_host();
+    ASSERT_NE(old_owner, 0);
+    kill_process(hosts_.at(old_owner));
+    hosts_.erase(old_owner);
+    const int other = hosts_.begin()->first;
+    // The cancellation by another organisation stays in the store.
+    wait_for("a job's own organisation to cancel it",
+             [&] { return call("DELETE", job_name(1), other).status == 200; });
+    wait_for("the end of its tasks",
+             [&] { return audit_count("present") == 4; });
+    for (int i = 2; i <= 3; ++i)
+        EXPECT_EQ(job_state(job_name(i), other), "running");
+    EXPECT_EQ(job_state(job_name(1), other), "canceled");
+}
+
 // An owner ended when it loaded a record of progress with a key of one byte.
 TEST_F(front_process_test, odd_records_of_the_store_end_no_host) {
     const std::string deep =
