Bound the tasks of a job's repeats in progress

Cause: all repeats that were due started at once: 1,048,576 for a job without an interval, and one record of progress for all of them.

Change: a repeat starts only while its job has at most 2,500 tasks in progress; the next one follows the end of an earlier one. Within the bound every repeat starts at its time.

--- a/src/dispatch/job_table.cpp
+++ b/src/dispatch/job_table.cpp
@@ -22,6 +22,15 @@
                        });
 }
 
+/** Number of repeats of a job that may be in progress at the same time. */
+std::size_t max_repeats_in_progress(const job_spec& spec) {
+    std::int64_t tasks = 0;
+    for (const step_spec& step : spec.steps)
+        tasks += step.count;
+    return static_cast<std::size_t>(std::max<std::int64_t>(
+        1, MAX_TASKS_PER_JOB / std::max<std::int64_t>(1, tasks)));
+}
+
 } // namespace
 
 millis critical_path_length(const job_spec& spec) {
@@ -82,6 +91,9 @@
     const job_spec& spec = job.record.spec;
     if (job.ended() || job.next_repeat >= std::max(1, spec.repeats))
         return std::numeric_limits<std::int64_t>::max();
+    if (!job.repeats.empty() &&
+        job.repeats.size() >= max_repeats_in_progress(spec))
+        return std::numeric_limits<std::int64_t>::max();
     if (spec.repeats == 0)
         return 0;
     return spec.first_due_ms + job.next_repeat * spec.interval.count();
--- a/src/dispatch/job_table.hpp
+++ b/src/dispatch/job_table.hpp
@@ -94,14 +94,16 @@
     bool accept(job_record record);
 
     /**
-     * Starts the repeats of a job that are due.
+     * Starts the repeats of a job that are due. Beyond `MAX_TASKS_PER_JOB`
+     * tasks in progress a repeat waits for the end of an earlier one.
      * @return True if there were any.
      */
     bool start_due_repeats(job_entry& job, std::int64_t wall_ms, mono_time now);
 
     /**
      * Unix time at which the next repeat starts. Before the start of a job that
-     * runs only once it is 0; without any repeat left it is the maximum value.
+     * runs only once it is 0; without any repeat left, or while the next one
+     * waits for the end of an earlier one, it is the maximum value.
      */
     [[nodiscard]] static std::int64_t next_due_ms(const job_entry& job);
 
--- a/tests/job_table_test.cpp
+++ b/tests/job_table_test.cpp
@@ -111,6 +111,69 @@
     EXPECT_EQ(job_table::next_due_ms(job), WALL + 200);
 }
 
+// All repeats of such a job started at once: 1,048,576 in one table.
+TEST(job_table, tasks_of_repeats_in_progress_are_bounded) {
+    job_table table;
+    job_record periodic = record({{.count = 2}});
+    periodic.spec.repeats = 1 << 20;
+    periodic.spec.first_due_ms = WALL;
+    table.accept(periodic);
+    job_entry& job = *table.find(job_id{"job"});
+    EXPECT_EQ(job_table::next_due_ms(job), WALL);
+    EXPECT_TRUE(table.start_due_repeats(job, WALL, NOW));
+    constexpr std::size_t LIMIT = MAX_TASKS_PER_JOB / 2;
+    EXPECT_EQ(job.repeats.size(), LIMIT);
+    EXPECT_FALSE(table.start_due_repeats(job, WALL + 1000, NOW));
+    EXPECT_GT(job_table::next_due_ms(job), WALL + 1000)
+        << "the owner must not wait for it in short steps";
+    for (int index = 0; index < 2; ++index) {
+        const task_id ended{{{"job"}, 7, 0}, index};
+        table.place(ended, 1, TARGET);
+        table.complete(ended, WALL, NOW);
+    }
+    EXPECT_TRUE(table.start_due_repeats(job, WALL + 1000, NOW));
+    EXPECT_EQ(job.repeats.size(), LIMIT);
+    EXPECT_TRUE(job.repeats.contains(static_cast<int>(LIMIT)));
+    const job_table next = reload(table);
+    EXPECT_EQ(next.find(job_id{"job"})->repeats.size(), LIMIT);
+}
+
+// A record of the store takes 262,144 bytes.
+TEST(job_table, progress_of_the_largest_job_fits_into_a_record) {
+    constexpr std::size_t RECORD_BYTES = 262'144;
+    const target_entry target{.id = {"i-7f3a91c2"},
+                              .incarnation = 1'733'366'763'000};
+    job_table table;
+    job_record periodic = record({{.count = 1}});
+    periodic.spec.repeats = 1 << 20;
+    table.accept(periodic);
+    job_entry& job = *table.find(job_id{"job"});
+    table.start_due_repeats(job, WALL, NOW);
+    for (int repeat = 0; repeat < MAX_TASKS_PER_JOB; ++repeat) {
+        const task_id id{{{"job"}, repeat, 0}, 0};
+        table.place(id, 1, target);
+        table.record_checkpoint(id, "00000bb87a21d94b");
+    }
+    EXPECT_LT(encode_progress(job).size(), RECORD_BYTES);
+}
+
+// A repeat that is due is not late while the job is within its bound.
+TEST(job_table, repeats_within_the_bound_start_at_their_time) {
+    job_table table;
+    job_record periodic = record({{.count = 1}});
+    periodic.spec.repeats = 100;
+    periodic.spec.first_due_ms = WALL;
+    periodic.spec.interval = millis(10);
+    table.accept(periodic);
+    job_entry& job = *table.find(job_id{"job"});
+    for (int number = 0; number < 100; ++number) {
+        EXPECT_EQ(job_table::next_due_ms(job), WALL + number * 10);
+        EXPECT_FALSE(table.start_due_repeats(job, WALL + number * 10 - 1, NOW));
+        EXPECT_TRUE(table.start_due_repeats(job, WALL + number * 10, NOW));
+    }
+    EXPECT_EQ(job.repeats.size(), 100U);
+}
+
 TEST(job_table, progress_survives_the_store) {
     job_table table = make_table({{.count = 3}, {.count = 1, .after = {0}}});
     table.place(task(0, 0), 1, TARGET);
