Repeat the order of a speed until it is answered

Cause: a speed counted as set once its order was sent, so a failed order was not repeated. A new owner assumed full speed, so a run that was throttled to 0 stayed so.

Change: a speed counts as set when its order is answered. Until then the order is repeated after each poll, one at a time, since orders may overtake each other. A new owner sends the speed of each best-effort run once.

--- a/src/dispatch/owner_base.cpp
+++ b/src/dispatch/owner_base.cpp
@@ -231,7 +231,8 @@
                          .long_lived = spec.long_lived,
                          .organisation = job.record.organisation,
                          .phase_since = clock.now,
-                         .tail_latency_target = spec.tail_latency_target});
+                         .tail_latency_target = spec.tail_latency_target,
+                         .speed_confirmed = false});
                 }
     }
     schedule_due_ = true;
--- a/src/dispatch/owner_base.hpp
+++ b/src/dispatch/owner_base.hpp
@@ -128,6 +128,9 @@
     void stop_answered(const target_id& target, const task_id& task,
                        std::int32_t run, const order_answer& answer,
                        const owner_clock& clock);
+    void throttle_answered(const target_id& target, const task_id& task,
+                           std::int32_t run, int percent,
+                           const order_answer& answer);
     void poll_answered(const target_id& target, const poll_answer& answer,
                        mono_time sent_at, const owner_clock& clock);
     void advice_answered(const host_id& host, const step_ref& step, bool slow,
@@ -252,6 +255,7 @@
                         const owner_clock& clock);
     void expire_runs(target_state& target, const owner_clock& clock);
     void throttle_best_effort(target_state& target);
+    void send_speed(target_state& target, const task_id& task, run_entry& run);
 
     // owner_stop.cpp
     void stop_run(target_state& target, const task_id& task,
--- a/src/dispatch/owner_poll.cpp
+++ b/src/dispatch/owner_poll.cpp
@@ -407,12 +407,40 @@
             speed = speed / 2;
         else if (worst_ratio < RECOVERY_RATIO)
             speed = std::min(FULL_SPEED_PERCENT, speed + 20);
-        if (speed == run.speed_percent)
-            continue;
+        if (speed != run.speed_percent)
+            run.speed_confirmed = false;
         run.speed_percent = speed;
-        output_.throttle(address_of(target), task, run.run, speed,
-                         settings_.epoch);
+        // Orders of different speeds may overtake each other, so the next one
+        // waits for the answer. One that failed is repeated after each poll.
+        if (!run.speed_confirmed && !run.speed_order_pending)
+            send_speed(target, task, run);
     }
 }
 
+void owner::send_speed(target_state& target, const task_id& task,
+                       run_entry& run) {
+    run.speed_order_pending = true;
+    output_.throttle(address_of(target), task, run.run, run.speed_percent,
+                     settings_.epoch);
+}
+
+void owner::throttle_answered(const target_id& id, const task_id& task,
+                              std::int32_t run_number, int percent,
+                              const order_answer& answer) {
+    if (answer.refusal == order_refusal::stale_token)
+        superseded_ = true;
+    target_state* target = targets_.find(id);
+    if (target == nullptr)
+        return;
+    const auto found = target->runs.find(task);
+    if (found == target->runs.end() || found->second.run != run_number)
+        return;
+    run_entry& run = found->second;
+    run.speed_order_pending = false;
+    if (run.speed_percent == percent)
+        run.speed_confirmed = answer.done;
+    else if (run.phase == run_phase::running)
+        send_speed(*target, task, run);
+}
+
 } // namespace rattan::dispatch
--- a/src/dispatch/target_table.hpp
+++ b/src/dispatch/target_table.hpp
@@ -44,6 +44,9 @@
     /** Of a serving task; 0: not a serving task. */
     millis tail_latency_target{0};
     std::int32_t speed_percent = 100; ///< Speed limit of a best-effort task.
+    /** The target has this limit; it starts every run at full speed. */
+    bool speed_confirmed = true;
+    bool speed_order_pending = false;
 };
 
 /** A target as seen by the owner. */
--- a/src/front/owner_service.cpp
+++ b/src/front/owner_service.cpp
@@ -413,13 +413,16 @@
                              std::int32_t run, int percent,
                              std::int64_t fencing_token) {
     ++context_.metrics.counter("rattan_paces_sent_total");
-    target_client_.throttle(target, task, run, percent, fencing_token,
-                            STOP_TIMEOUT,
-                            [id = target.id](const order_answer& answer) {
-                                if (!answer.done)
-                                    log_event(log_level::warning, "pace_failed",
-                                              {{"target", id.value}});
-                            });
+    target_client_.throttle(
+        target, task, run, percent, fencing_token, STOP_TIMEOUT,
+        guarded([this, id = target.id, task, run,
+                 percent](const order_answer& answer) {
+            if (!answer.done)
+                log_event(log_level::warning, "pace_failed",
+                          {{"target", id.value}});
+            owner_.throttle_answered(id, task, run, percent, answer);
+            schedule_tick();
+        }));
 }
 
 void owner_service::poll(const target_address& target,
--- a/tests/dispatch_world.hpp
+++ b/tests/dispatch_world.hpp
@@ -123,8 +123,14 @@
     void start(const target_address& target, const start_order& order) override;
     void stop(const target_address& target, const task_id& task,
               std::int32_t run, std::int64_t fencing_token) override;
-    void throttle(const target_address&, const task_id&, std::int32_t, int,
-                  std::int64_t) override {}
+    void throttle(const target_address& target, const task_id& task,
+                  std::int32_t run, int percent, std::int64_t) override {
+        deliver_answer([this, target, task, run, percent] {
+            owner_->throttle_answered(
+                target.id, task, run, percent,
+                {.answered = true, .sent = true, .done = true});
+        });
+    }
     void poll(const target_address& target, const poll_order& order) override;
     void ask_advice(const host_id& host, const step_ref& step,
                     const std::vector<std::string>& targets,
--- a/tests/owner_order_test.cpp
+++ b/tests/owner_order_test.cpp
@@ -115,6 +115,35 @@
         tick();
     }
 
+    struct serving_and_best_effort {
+        start_order serving;
+        start_order best_effort;
+    };
+
+    /** Starts a serving task and a best-effort task on the target. */
+    serving_and_best_effort start_serving_and_best_effort() {
+        accept("serving",
+               {.long_lived = true, .tail_latency_target = millis(100)});
+        accept("filler", {.long_lived = true, .best_effort = true});
+        EXPECT_EQ(output.starts.size(), 2U);
+        confirm_start(output.starts.at(0));
+        confirm_start(output.starts.at(1));
+        return {output.starts.at(0), output.starts.at(1)};
+    }
+
+    void poll_with_tail_latency(const start_order& serving,
+                                const start_order& best_effort,
+                                std::int64_t tail_ms) {
+        answer_poll({{.task = serving.task, .run = 1, .measurement = tail_ms},
+                     {.task = best_effort.task, .run = 1}});
+    }
+
+    void answer_speed(const start_order& order, int percent, bool done) {
+        under_test.throttle_answered(
+            TARGET, order.task, order.run, percent,
+            {.answered = done, .sent = true, .done = done});
+    }
+
     std::int64_t now_ms = 1000;
     int stored_calls = 0;
     order_log output;
@@ -185,3 +214,67 @@
     for (const char* other : {"", "c", "c/", "c//5", "j/00000000000000aa"})
         EXPECT_FALSE(cancelled_job(other)) << other;
 }
+
+// A speed order that failed was not repeated.
+TEST_F(owner_order, speed_orders_are_repeated_until_they_are_answered) {
+    const auto [serving, filler] = start_serving_and_best_effort();
+    poll_with_tail_latency(serving, filler, 200);
+    ASSERT_EQ(output.speeds.size(), 1U);
+    EXPECT_EQ(output.speeds[0], std::pair(filler.task, 0));
+    answer_speed(filler, 0, false);
+    poll_with_tail_latency(serving, filler, 200);
+    ASSERT_EQ(output.speeds.size(), 2U);
+    EXPECT_EQ(output.speeds[1], std::pair(filler.task, 0));
+    // While an order is pending, no other is sent.
+    poll_with_tail_latency(serving, filler, 200);
+    EXPECT_EQ(output.speeds.size(), 2U);
+    answer_speed(filler, 0, true);
+    poll_with_tail_latency(serving, filler, 200);
+    EXPECT_EQ(output.speeds.size(), 2U);
+}
+
+TEST_F(owner_order, the_newest_speed_follows_the_answer_to_an_older_one) {
+    const auto [serving, filler] = start_serving_and_best_effort();
+    poll_with_tail_latency(serving, filler, 90);
+    ASSERT_EQ(output.speeds.size(), 1U);
+    EXPECT_EQ(output.speeds[0].second, 50);
+    poll_with_tail_latency(serving, filler, 200);
+    ASSERT_EQ(output.speeds.size(), 1U);
+    answer_speed(filler, 50, true);
+    ASSERT_EQ(output.speeds.size(), 2U);
+    EXPECT_EQ(output.speeds[1].second, 0);
+}
+
+// A run that an earlier owner had throttled to 0 kept that speed for ever: the
+// next owner assumed full speed.
+TEST_F(owner_order, a_new_owner_sends_the_speed_of_each_best_effort_run) {
+    const auto [serving, filler] = start_serving_and_best_effort();
+    poll_with_tail_latency(serving, filler, 200);
+    answer_speed(filler, 0, true);
+    order_log next_output;
+    owner next({.epoch = 4}, next_output);
+    next.target_listed(entry(), clock());
+    for (const auto& [id, job] : under_test.jobs().all())
+        next.restore_job(job, clock());
+    next.take_over(clock());
+    next.ownership_confirmed(clock().now);
+    next.tick(clock());
+    for (int i = 0; i < 3; ++i) {
+        next.poll_answered(
+            TARGET,
+            {.order = {.answered = true,
+                       .sent = true,
+                       .done = true,
+                       .clock_ms = now_ms},
+             .incarnation = INCARNATION,
+             .running = {{.task = serving.task, .run = 1, .measurement = 10},
+                         {.task = filler.task, .run = 1}}},
+            clock().now, clock());
+        ASSERT_EQ(next_output.speeds.size(), 1U);
+        EXPECT_EQ(next_output.speeds[0], std::pair(filler.task, 100));
+        if (i == 0)
+            next.throttle_answered(
+                TARGET, filler.task, 1, 100,
+                {.answered = true, .sent = true, .done = true});
+    }
+}
