Take no run for gone because of a list that cannot be read

Cause: a response to a poll that is no list of runs, or a list with a malformed row, counted as a complete list. A new owner took the runs of the target that were not in it for gone and started their tasks elsewhere.

After a list with a malformed row in "running" no run is taken for gone.

--- a/src/dispatch/order_type.hpp
+++ b/src/dispatch/order_type.hpp
@@ -63,6 +63,8 @@
 struct poll_answer {
     order_answer order;
     bool concurrent = false; ///< As in the order.
+    /** False: runs may exist that `running` does not contain. */
+    bool complete = true;
     std::int64_t incarnation = 0;
     std::vector<listed_run> running;
     std::vector<listed_end> ended;
--- a/src/dispatch/owner_poll.cpp
+++ b/src/dispatch/owner_poll.cpp
@@ -172,6 +172,8 @@
         present.insert(run.task);
         process_listed_run(target, run, clock);
     }
+    if (!answer.complete)
+        return; // A run that is not listed may exist.
     std::vector<task_id> gone;
     for (auto& [task, run] : target.runs) {
         if (present.contains(task))
--- a/tests/odd_entries_test.cpp
+++ b/tests/odd_entries_test.cpp
@@ -178,6 +178,43 @@
     }
 }
 
+// Such an answer counted as a list without runs, so that a new owner took the
+// runs of the target for gone and started them elsewhere.
+TEST(odd_entries, an_unreadable_answer_to_a_poll_is_none) {
+    const auto poll_answered_with = [](const std::string& body) {
+        target_client client(
+            [&](const http_call&, const http_client::callback& done) {
+                done({.outcome = http_outcome::answered,
+                      .status = 200,
+                      .body = body});
+            });
+        poll_answer out;
+        client.poll({.id = {"t1"}, .address = "10.1.1.1:80"}, {},
+                    [&](const poll_answer& answer) { out = answer; });
+        EXPECT_TRUE(out.order.answered);
+        return out;
+    };
+    for (const std::string& odd :
+         {std::string(), std::string("null"), std::string("[]"),
+          std::string("{}"), std::string("\xff"), deep_list(),
+          std::string(R"({"clockMs":1e300,"running":[]})"),
+          std::string(R"({"clockMs":-1,"running":[]})"),
+          std::string(R"({"clockMs":5,"running":{}})"),
+          std::string(R"({"clockMs":5,"finished":"x"})"),
+          R"({"clockMs":5,"running":[)" + repeated("[],", 1U << 20U) +
+              "[]]}"}) {
+        SCOPED_TRACE(odd.substr(0, 40));
+        EXPECT_FALSE(poll_answered_with(odd).order.done);
+    }
+    const auto good = poll_answered_with(run_list("", ""));
+    EXPECT_TRUE(good.order.done);
+    EXPECT_TRUE(good.complete);
+    EXPECT_EQ(good.order.clock_ms, 5);
+    // The run of a row that can't be read may be any.
+    EXPECT_FALSE(poll_answered_with(run_list("[]", "")).complete);
+    EXPECT_TRUE(poll_answered_with(run_list("", "[]")).complete);
+}
+
 TEST(odd_entries, clocks_out_of_range_count_as_missing) {
     for (const char* odd : {"1e300", "-1", "9223372036854775808",
                             "18446744073709551615", "2251799813685249"}) {
--- a/tests/owner_order_test.cpp
+++ b/tests/owner_order_test.cpp
@@ -171,6 +171,31 @@
     EXPECT_EQ(output.starts.size(), 2U) << "a valid entry allows new work";
 }
 
+// A run whose row could not be read was taken for gone by a new owner.
+TEST_F(owner_order, an_incomplete_list_ends_no_run) {
+    accept("first", {.estimate = millis(1000)});
+    ASSERT_EQ(output.starts.size(), 1U);
+    const start_order order = output.starts[0];
+    confirm_start(order);
+    order_log next_output;
+    owner next({.epoch = 4}, next_output);
+    next.target_listed(entry(), clock());
+    for (const auto& [id, job] : under_test.jobs().all())
+        next.restore_job(job, clock());
+    next.take_over(clock());
+    poll_answer answer{.order = {.answered = true,
+                                 .sent = true,
+                                 .done = true,
+                                 .clock_ms = now_ms},
+                       .complete = false,
+                       .incarnation = INCARNATION};
+    next.poll_answered(TARGET, answer, clock().now, clock());
+    EXPECT_TRUE(next.targets().all().at(TARGET).runs.contains(order.task));
+    answer.complete = true;
+    next.poll_answered(TARGET, answer, clock().now, clock());
+    EXPECT_FALSE(next.targets().all().at(TARGET).runs.contains(order.task));
+}
+
 TEST_F(owner_order, malformed_entry_of_an_unknown_target_is_ignored) {
     under_test.target_unreadable({"t9"});
     EXPECT_EQ(under_test.targets().all().size(), 1U);
