Fuzz targets: nested values, refused appends, members

The decoders that were changed get inputs with a value nested 100,000 levels deep, and the decoders without a target get one.

--- a/fuzz/platform_message_fuzz.cpp
+++ b/fuzz/platform_message_fuzz.cpp
@@ -8,13 +8,32 @@
 #include <cstdint>
 #include <string>
 
+namespace {
+
+constexpr unsigned NESTED_FLAG = 0x80; ///< Of the first byte.
+constexpr std::size_t DEPTH = 100'000;
+/** Replaced by a value that is nested `DEPTH` levels deep. */
+constexpr char PLACE = '@';
+
+/** Replaces the first `PLACE` in a text by nested lists. */
+std::string nested(std::string text) {
+    const std::size_t at = text.find(PLACE);
+    if (at != std::string::npos)
+        text.replace(at, 1, std::string(DEPTH, '[') + std::string(DEPTH, ']'));
+    return text;
+}
+
+} // namespace
+
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, size_t size) {
     boost::log::core::get()->set_logging_enabled(false);
     if (size == 0)
         return 0;
-    const std::string text(reinterpret_cast<const char*>(data) + 1, size - 1);
+    std::string text(reinterpret_cast<const char*>(data) + 1, size - 1);
+    if ((data[0] & NESTED_FLAG) != 0)
+        text = nested(text);
     try {
-        switch (data[0] % 5) {
+        switch ((data[0] & ~NESTED_FLAG) % 5) {
         case 0:
             rattan::platform::decode_config(text);
             break;
--- a/fuzz/store_answer_fuzz.cpp
+++ b/fuzz/store_answer_fuzz.cpp
@@ -18,5 +18,9 @@
         rattan::platform::decode_newest(text);
     } catch (const rattan::decode_error&) {
     }
+    rattan::platform::decode_append_answer(
+        {.outcome = rattan::http_outcome::answered,
+         .status = 409,
+         .body = text});
     return 0;
 }
--- a/fuzz/stored_record_fuzz.cpp
+++ b/fuzz/stored_record_fuzz.cpp
@@ -22,5 +22,13 @@
         decode_owner(text);
     } catch (const rattan::decode_error&) {
     }
+    try {
+        decode_member(text);
+    } catch (const rattan::decode_error&) {
+    }
+    try {
+        decode_ended_job({"job"}, text, 1);
+    } catch (const rattan::decode_error&) {
+    }
     return 0;
 }
