Test the HTTP client with odd addresses

Whether an odd address of a target could end a process was not shown. Ports out of range, spaces, line breaks and 200 KB of text end as calls that were not sent, also with the client as it was.

Measured: the test passes with the unchanged client.

--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -114,3 +114,34 @@
         close(counter->get_handle());
     }
 }
+
+// Entries of targets held such addresses before they were checked.
+TEST(http_client_test, calls_to_odd_addresses_are_not_sent) {
+    event_loop loop(1000);
+    http_client client(loop);
+    const std::vector<std::string> addresses{"127.0.0.1:99999",
+                                             "127.0.0.1:-1",
+                                             "127.0.0.1:0",
+                                             "127.0.0.1:1:2",
+                                             ":80",
+                                             "",
+                                             "127.0.0.1:80 x",
+                                             "127.0.0.1:80\r\nX-Header: 1",
+                                             std::string(200'000, '8'),
+                                             std::string("\xff\xfe:80")};
+    std::size_t answers = 0;
+    for (const std::string& address : addresses)
+        client.call({.method = "POST",
+                     .url = "http://" + address + "/-/hold",
+                     .body = "{}",
+                     .timeout = millis(300),
+                     .connect_timeout = millis(300)},
+                    [&](const http_call_result& answer) {
+                        EXPECT_EQ(answer.outcome, http_outcome::not_sent);
+                        if (++answers == addresses.size())
+                            loop.stop();
+                    });
+    loop.after(millis(5000), [&] { loop.stop(); });
+    loop.run();
+    EXPECT_EQ(answers, addresses.size());
+}
