--- a/src/dispatch/owner_base.cpp
+++ b/src/dispatch/owner_base.cpp
@@ -4,6 +4,7 @@
 #include "dispatch/route_func.hpp"
 
 #include <nlohmann/json.hpp>
+#include <xxhash.h>
 
 #include <algorithm>
 #include <limits>
@@ -37,6 +38,8 @@
 constexpr double MS_PER_SECOND = 1000;
 /** For jobs whose queue has been removed. */
 constexpr int DEFAULT_MAX_ATTEMPTS = 1;
+const std::string CANCEL_PREFIX = "c/";
+constexpr char CANCEL_SEPARATOR = '/';
 
 } // namespace
 
@@ -44,8 +47,22 @@
     return "j/" + job.value;
 }
 
-std::string cancel_key(const job_id& job) {
-    return "c/" + job.value;
+std::string cancel_key_prefix(const job_id& job) {
+    return CANCEL_PREFIX + job.value + CANCEL_SEPARATOR;
+}
+
+std::string cancel_key(const job_id& job, const organisation_id& requester) {
+    // The hash bounds the length of the key; the record holds the name.
+    return cancel_key_prefix(job) +
+           std::to_string(
+               XXH64(requester.value.data(), requester.value.size(), 0));
+}
+
+std::optional<job_id> cancelled_job(const std::string& key) {
+    const std::size_t end = key.rfind(CANCEL_SEPARATOR);
+    if (!key.starts_with(CANCEL_PREFIX) || end <= CANCEL_PREFIX.size())
+        return std::nullopt;
+    return job_id{key.substr(CANCEL_PREFIX.size(), end - CANCEL_PREFIX.size())};
 }
 
 std::string progress_key(const job_id& job) {
@@ -69,6 +86,9 @@
     const target_state* known = targets_.find(entry.id);
     const bool is_new = known == nullptr;
     const bool was_current = !is_new && known->entry_current();
+    // Waiting tasks may start on a target that accepts work again.
+    if (!is_new && known->entry.draining && !entry.draining)
+        schedule_due_ = true;
     target_state& target = targets_.add_or_update(entry);
     if (entry.incarnation > target.incarnation)
         replace_process(target, entry.incarnation, clock);
@@ -80,6 +100,12 @@
         schedule_due_ = true;
 }
 
+void owner::target_unreadable(const target_id& id) {
+    // Its runs go on, and the next valid entry takes the place of this one.
+    if (target_state* target = targets_.find(id))
+        target->entry.draining = true;
+}
+
 void owner::target_delisted(const target_id& target) {
     targets_.mark_delisted(target);
 }
@@ -118,14 +144,22 @@
                 "queue=" + job.record.queue.value + " steps=" +
                     std::to_string(job.record.spec.steps.size()) + " age_ms=" +
                     std::to_string(clock.wall_ms - job.record.accepted_ms));
-    if (early_cancels_.erase(id) > 0)
-        job_cancelled(id, clock);
+    if (const auto early = early_cancels_.extract(id))
+        for (const organisation_id& requester : early.mapped().requesters)
+            job_cancelled(id, requester, clock);
 }
 
-void owner::job_cancelled(const job_id& id, const owner_clock& clock) {
-    if (jobs_.find(id) == nullptr)
-        early_cancels_[id] = clock.wall_ms;
-    if (!jobs_.cancel(id, clock.wall_ms))
+void owner::job_cancelled(const job_id& id, const organisation_id& requester,
+                          const owner_clock& clock) {
+    const job_entry* job = jobs_.find(id);
+    if (job == nullptr) {
+        early_cancel& early = early_cancels_[id];
+        early.at_ms = clock.wall_ms;
+        early.requesters.insert(requester);
+        return;
+    }
+    if (!may_access(requester, job->record.organisation) ||
+        !jobs_.cancel(id, clock.wall_ms))
         return;
     live_jobs_.erase(id);
     output_.log("job_cancelled", id, "");
@@ -203,7 +237,8 @@
                          .long_lived = spec.long_lived,
                          .organisation = job.record.organisation,
                          .phase_since = clock.now,
-                         .tail_latency_target = spec.tail_latency_target});
+                         .tail_latency_target = spec.tail_latency_target,
+                         .speed_confirmed = false});
                 }
     }
     schedule_due_ = true;
@@ -229,8 +264,8 @@
     const std::int64_t cutoff_ms =
         clock.wall_ms - (settings_.state_retention + RETENTION_MARGIN).count();
     std::vector<job_id> expired;
-    for (const auto& [id, at] : early_cancels_)
-        if (at < cutoff_ms)
+    for (const auto& [id, early] : early_cancels_)
+        if (early.at_ms < cutoff_ms)
             expired.push_back(id);
     for (const job_id& id : expired)
         early_cancels_.erase(id);
@@ -364,7 +399,7 @@
                            {"live_jobs", live_jobs_.size()},
                            {"jobs", jobs_.all().size()},
                            {"targets", targets}})
-        .dump();
+        .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 } // namespace rattan::dispatch
--- a/src/dispatch/target_table.hpp
+++ b/src/dispatch/target_table.hpp
@@ -52,6 +52,9 @@
     /** Of a serving task; 0: not a serving task. */
     millis tail_latency_target{0};
     std::int32_t speed_percent = 100; ///< Speed limit of a best-effort task.
+    /** The target has this limit; it starts every run at full speed. */
+    bool speed_confirmed = true;
+    bool speed_order_pending = false;
 };
 
 /** Sequence number of an end; each process of a target counts from 1. */
--- a/src/front/owner_service.cpp
+++ b/src/front/owner_service.cpp
@@ -190,14 +190,17 @@
                 progress_writer_.mark_has_keys(partition);
             for (const keyed_record& record : page.records)
                 handle_progress_record(record);
-            if (page.has_more && !page.records.empty())
-                return load_progress(partition, page.records.back().key);
+            if (page.has_more && !page.last_key.empty() &&
+                page.last_key != after)
+                return load_progress(partition, page.last_key);
             --progress_partitions_to_load_;
             start_serving_if_loaded();
         }));
 }
 
 void owner_service::handle_progress_record(const keyed_record& record) {
+    if (record.key.size() <= KEY_PREFIX_BYTES || record.value.empty())
+        return;
     try {
         auto [stamp, value] = split_progress(record.value);
         loaded_progress& newest =
@@ -227,8 +230,8 @@
     progress_writer_.delete_keys(orphans);
     owner_.take_over(at);
     serving_ = true;
-    for (const job_id& id : std::exchange(loaded_cancels_, {}))
-        owner_.job_cancelled(id, at);
+    for (const auto& [id, requester] : std::exchange(loaded_cancels_, {}))
+        owner_.job_cancelled(id, requester, at);
     for (const auto& follower : job_followers_)
         follower->set_read_delay(JOBS_READ_DELAY);
     log_event(log_level::info, "owner_serving",
@@ -284,11 +287,12 @@
         return;
     const job_id id{record.key.substr(KEY_PREFIX_BYTES)};
     try {
-        if (record.key == cancel_key(id)) {
+        if (const auto cancelled = cancelled_job(record.key)) {
+            const organisation_id requester = decode_cancel(record.value);
             if (serving_)
-                owner_.job_cancelled(id, clock());
+                owner_.job_cancelled(*cancelled, requester, clock());
             else
-                loaded_cancels_.insert(id);
+                loaded_cancels_.emplace(*cancelled, requester);
         } else if (record.key == job_key(id)) {
             if (!serving_)
                 loaded_jobs_.try_emplace(id, record.value);
@@ -314,6 +318,7 @@
         } catch (const decode_error& failure) {
             log_event(log_level::warning, "target_entry_skipped",
                       {{"target", record.key}, {"cause", failure.what()}});
+            owner_.target_unreadable({record.key});
         }
     }
     schedule_tick();
@@ -409,13 +414,16 @@
                              std::int32_t run, int percent,
                              std::int64_t fencing_token) {
     ++context_.metrics.counter("rattan_paces_sent_total");
-    target_client_.throttle(target, task, run, percent, fencing_token,
-                            STOP_TIMEOUT,
-                            [id = target.id](const order_answer& answer) {
-                                if (!answer.done)
-                                    log_event(log_level::warning, "pace_failed",
-                                              {{"target", id.value}});
-                            });
+    target_client_.throttle(
+        target, task, run, percent, fencing_token, STOP_TIMEOUT,
+        guarded([this, id = target.id, task, run,
+                 percent](const order_answer& answer) {
+            if (!answer.done)
+                log_event(log_level::warning, "pace_failed",
+                          {{"target", id.value}});
+            owner_.throttle_answered(id, task, run, percent, answer);
+            schedule_tick();
+        }));
 }
 
 void owner_service::poll(const target_address& target,
@@ -499,11 +507,15 @@
     };
     for (std::size_t partition = 0; partition < job_followers_.size();
          ++partition) {
+        const topic_follower& follower = *job_followers_[partition];
         std::vector<keyed_record> tombstones;
-        for (const job_id& id : jobs)
-            for (const std::string& key : {job_key(id), cancel_key(id)})
-                if (job_followers_[partition]->has_key(key))
-                    tombstones.push_back({.key = key});
+        for (const job_id& id : jobs) {
+            if (follower.has_key(job_key(id)))
+                tombstones.push_back({.key = job_key(id)});
+            for (const std::string& key :
+                 follower.keys_with_prefix(cancel_key_prefix(id)))
+                tombstones.push_back({.key = key});
+        }
         if (tombstones.empty())
             continue;
         ++*partitions_left;
--- a/src/front/topic_follower.cpp
+++ b/src/front/topic_follower.cpp
@@ -24,6 +24,17 @@
     : loop_(loop), store_(store), options_(std::move(options)),
       on_record_(std::move(on_record)), on_loaded_(std::move(on_loaded)) {}
 
+std::vector<std::string>
+topic_follower::keys_with_prefix(const std::string& prefix) const {
+    std::vector<std::string> keys;
+    for (auto position = newest_offsets_.lower_bound(prefix);
+         position != newest_offsets_.end() &&
+         position->first.starts_with(prefix);
+         ++position)
+        keys.push_back(position->first);
+    return keys;
+}
+
 void topic_follower::call_later(millis delay, std::function<void()> call) {
     loop_.after(delay, [call = std::move(call), alive = std::weak_ptr(alive_)] {
         if (!alive.expired())
@@ -47,12 +58,13 @@
                           return call_later(RETRY_DELAY,
                                             [this, after] { load(after); });
                       note_answer(sent_at);
-                      handle_page(page, after.empty());
+                      handle_page(page, after);
                   });
 }
 
-void topic_follower::handle_page(const newest_answer& page, bool first) {
-    if (first) {
+void topic_follower::handle_page(const newest_answer& page,
+                                 const std::string& after) {
+    if (after.empty()) {
         loading_keys_.clear();
         next_offset_ = page.end_offset;
     }
@@ -63,8 +75,8 @@
         if (alive.expired())
             return;
     }
-    if (page.has_more && !page.records.empty())
-        return load(page.records.back().key);
+    if (page.has_more && !page.last_key.empty() && page.last_key != after)
+        return load(page.last_key);
     std::erase_if(newest_offsets_, [this](const auto& item) {
         return !loading_keys_.contains(item.first);
     });
--- /dev/null
+++ b/tests/owner_order_test.cpp
@@ -0,0 +1,305 @@
+/** @file Orders of an owner to one target, event by event. */
+#include "dispatch/owner_base.hpp"
+
+#include <gtest/gtest.h>
+
+using namespace rattan;
+using namespace rattan::dispatch;
+
+namespace {
+
+const target_id TARGET{"t1"};
+constexpr std::int64_t WALL_MS = 1'700'000'000'000;
+constexpr std::int64_t INCARNATION = 5;
+
+/** Records the orders of an owner. */
+struct order_log : owner_output {
+    void start(const target_address&, const start_order& order) override {
+        starts.push_back(order);
+    }
+    void stop(const target_address&, const task_id& task, std::int32_t,
+              std::int64_t) override {
+        stops.push_back(task);
+    }
+    void throttle(const target_address&, const task_id& task, std::int32_t,
+                  int percent, std::int64_t) override {
+        speeds.emplace_back(task, percent);
+    }
+    void poll(const target_address&, const poll_order& order) override {
+        polls.push_back(order);
+    }
+    void ask_advice(const host_id&, const step_ref&,
+                    const std::vector<std::string>&, millis) override {}
+    void store(const std::vector<store_record>& records) override {
+        stored = records;
+        ++store_calls;
+    }
+    void remove_jobs(const std::vector<job_id>&) override {}
+    void log(std::string_view, const job_id&, const std::string&) override {}
+
+    std::vector<start_order> starts;
+    std::vector<task_id> stops;
+    std::vector<std::pair<task_id, int>> speeds;
+    std::vector<poll_order> polls;
+    std::vector<store_record> stored;
+    int store_calls = 0;
+};
+
+/** An owner with one queue and one target. */
+class owner_order : public ::testing::Test {
+protected:
+    void SetUp() override {
+        under_test.set_config(
+            {.version = 1,
+             .queues = {{.name = {"q"}, .service = {"pool"}, .stretch = 2}}});
+        under_test.target_listed(entry(), clock());
+        under_test.take_over(clock());
+        under_test.ownership_confirmed(clock().now);
+        tick();
+        answer_poll({});
+    }
+
+    [[nodiscard]] static target_entry entry() {
+        return {.id = TARGET,
+                .address = "10.1.1.1:80",
+                .data_centre = {"dc1"},
+                .service = {"pool"},
+                .capacity = {8000, 1000, 0},
+                .incarnation = INCARNATION};
+    }
+
+    [[nodiscard]] owner_clock clock() const {
+        return {.now = mono_time(millis(now_ms)), .wall_ms = WALL_MS + now_ms};
+    }
+
+    /** Lets some time pass, confirms the records and does what is due. */
+    void tick() {
+        now_ms += 50;
+        under_test.ownership_confirmed(clock().now);
+        under_test.tick(clock());
+        if (output.store_calls > stored_calls) {
+            stored_calls = output.store_calls;
+            under_test.records_stored(clock());
+        }
+    }
+
+    void answer_poll(std::vector<listed_run> running) {
+        under_test.poll_answered(TARGET,
+                                 {.order = {.answered = true,
+                                            .sent = true,
+                                            .done = true,
+                                            .clock_ms = now_ms},
+                                  .incarnation = INCARNATION,
+                                  .running = std::move(running)},
+                                 clock().now, clock());
+        tick();
+    }
+
+    void accept(const std::string& id, step_spec step,
+                const organisation_id& organisation = {}) {
+        step.count = 1;
+        step.demand = {1000, 10, 0};
+        job_record record{
+            .id = {id}, .queue = {"q"}, .organisation = organisation};
+        record.spec.steps = {std::move(step)};
+        record.accepted_ms = clock().wall_ms;
+        under_test.job_accepted(std::move(record), clock());
+        tick();
+    }
+
+    void confirm_start(const start_order& order) {
+        under_test.start_answered(
+            TARGET, order.task, order.run,
+            {.answered = true, .sent = true, .done = true, .clock_ms = now_ms},
+            clock());
+        tick();
+    }
+
+    struct serving_and_best_effort {
+        start_order serving;
+        start_order best_effort;
+    };
+
+    /** Starts a serving task and a best-effort task on the target. */
+    serving_and_best_effort start_serving_and_best_effort() {
+        accept("serving",
+               {.long_lived = true, .tail_latency_target = millis(100)});
+        accept("filler", {.long_lived = true, .best_effort = true});
+        EXPECT_EQ(output.starts.size(), 2U);
+        confirm_start(output.starts.at(0));
+        confirm_start(output.starts.at(1));
+        return {output.starts.at(0), output.starts.at(1)};
+    }
+
+    void poll_with_tail_latency(const start_order& serving,
+                                const start_order& best_effort,
+                                std::int64_t tail_ms) {
+        answer_poll({{.task = serving.task, .run = 1, .measurement = tail_ms},
+                     {.task = best_effort.task, .run = 1}});
+    }
+
+    void answer_speed(const start_order& order, int percent, bool done) {
+        under_test.throttle_answered(
+            TARGET, order.task, order.run, percent,
+            {.answered = done, .sent = true, .done = done});
+    }
+
+    std::int64_t now_ms = 1000;
+    int stored_calls = 0;
+    order_log output;
+    owner under_test{{.epoch = 3}, output};
+};
+
+} // namespace
+
+TEST_F(owner_order, malformed_entry_of_a_target_stops_new_work_only) {
+    accept("first", {.estimate = millis(1000)});
+    ASSERT_EQ(output.starts.size(), 1U);
+    confirm_start(output.starts[0]);
+    under_test.target_unreadable(TARGET);
+    accept("second", {.estimate = millis(1000)});
+    EXPECT_EQ(output.starts.size(), 1U);
+    EXPECT_TRUE(output.stops.empty());
+    const auto& runs = under_test.targets().all().at(TARGET).runs;
+    EXPECT_TRUE(runs.contains(task_id{{{"first"}, 0, 0}, 0}));
+    const std::size_t polls = output.polls.size();
+    answer_poll({{.task = output.starts[0].task, .run = 1}});
+    EXPECT_GT(output.polls.size(), polls) << "its lease is still renewed";
+    under_test.target_listed(entry(), clock());
+    for (int i = 0; i < 20 && output.starts.size() < 2; ++i)
+        answer_poll({{.task = output.starts[0].task, .run = 1}});
+    EXPECT_EQ(output.starts.size(), 2U) << "a valid entry allows new work";
+}
+
+// A run whose row could not be read was taken for gone by a new owner.
+TEST_F(owner_order, an_incomplete_list_ends_no_run) {
+    accept("first", {.estimate = millis(1000)});
+    ASSERT_EQ(output.starts.size(), 1U);
+    const start_order order = output.starts[0];
+    confirm_start(order);
+    order_log next_output;
+    owner next({.epoch = 4}, next_output);
+    next.target_listed(entry(), clock());
+    for (const auto& [id, job] : under_test.jobs().all())
+        next.restore_job(job, clock());
+    next.take_over(clock());
+    poll_answer answer{.order = {.answered = true,
+                                 .sent = true,
+                                 .done = true,
+                                 .clock_ms = now_ms},
+                       .complete = false,
+                       .incarnation = INCARNATION};
+    next.poll_answered(TARGET, answer, clock().now, clock());
+    EXPECT_TRUE(next.targets().all().at(TARGET).runs.contains(order.task));
+    answer.complete = true;
+    next.poll_answered(TARGET, answer, clock().now, clock());
+    EXPECT_FALSE(next.targets().all().at(TARGET).runs.contains(order.task));
+}
+
+TEST_F(owner_order, malformed_entry_of_an_unknown_target_is_ignored) {
+    under_test.target_unreadable({"t9"});
+    EXPECT_EQ(under_test.targets().all().size(), 1U);
+}
+
+// Any organisation could cancel the jobs of every other one.
+TEST_F(owner_order, only_the_organisation_of_a_job_can_cancel_it) {
+    accept("first", {.estimate = millis(1000)}, {"a"});
+    const job_id job{"first"};
+    under_test.job_cancelled(job, {"b"}, clock());
+    under_test.job_cancelled(job, {""}, clock());
+    EXPECT_NE(under_test.state_of(job, {"a"}), job_state::cancelled);
+    under_test.job_cancelled(job, {"a"}, clock());
+    EXPECT_EQ(under_test.state_of(job, {"a"}), job_state::cancelled);
+    EXPECT_EQ(under_test.state_of(job, {"b"}), job_state::unknown);
+}
+
+TEST_F(owner_order, an_early_cancellation_counts_only_for_its_organisation) {
+    under_test.job_cancelled({"first"}, {"b"}, clock());
+    under_test.job_cancelled({"second"}, {"b"}, clock());
+    under_test.job_cancelled({"second"}, {"a"}, clock());
+    accept("first", {.estimate = millis(1000)}, {"a"});
+    accept("second", {.estimate = millis(1000)}, {"a"});
+    EXPECT_NE(under_test.state_of({"first"}, {"a"}), job_state::cancelled);
+    EXPECT_EQ(under_test.state_of({"second"}, {"a"}), job_state::cancelled);
+}
+
+TEST_F(owner_order, anyone_can_cancel_an_anonymous_job) {
+    accept("first", {.estimate = millis(1000)});
+    under_test.job_cancelled({"first"}, {"b"}, clock());
+    EXPECT_EQ(under_test.state_of({"first"}, {}), job_state::cancelled);
+}
+
+TEST(cancel_key, names_the_job_and_is_of_limited_length) {
+    const job_id job{"00000000000000aa"};
+    const std::string key = cancel_key(job, {std::string(5000, 'x')});
+    EXPECT_LT(key.size(), 100U);
+    EXPECT_TRUE(key.starts_with(cancel_key_prefix(job)));
+    EXPECT_EQ(cancelled_job(key), job);
+    EXPECT_NE(key, cancel_key(job, {"b"}));
+    for (const char* other : {"", "c", "c/", "c//5", "j/00000000000000aa"})
+        EXPECT_FALSE(cancelled_job(other)) << other;
+}
+
+// A speed order that failed was not repeated.
+TEST_F(owner_order, speed_orders_are_repeated_until_they_are_answered) {
+    const auto [serving, filler] = start_serving_and_best_effort();
+    poll_with_tail_latency(serving, filler, 200);
+    ASSERT_EQ(output.speeds.size(), 1U);
+    EXPECT_EQ(output.speeds[0], std::pair(filler.task, 0));
+    answer_speed(filler, 0, false);
+    poll_with_tail_latency(serving, filler, 200);
+    ASSERT_EQ(output.speeds.size(), 2U);
+    EXPECT_EQ(output.speeds[1], std::pair(filler.task, 0));
+    // While an order is pending, no other is sent.
+    poll_with_tail_latency(serving, filler, 200);
+    EXPECT_EQ(output.speeds.size(), 2U);
+    answer_speed(filler, 0, true);
+    poll_with_tail_latency(serving, filler, 200);
+    EXPECT_EQ(output.speeds.size(), 2U);
+}
+
+TEST_F(owner_order, the_newest_speed_follows_the_answer_to_an_older_one) {
+    const auto [serving, filler] = start_serving_and_best_effort();
+    poll_with_tail_latency(serving, filler, 90);
+    ASSERT_EQ(output.speeds.size(), 1U);
+    EXPECT_EQ(output.speeds[0].second, 50);
+    poll_with_tail_latency(serving, filler, 200);
+    ASSERT_EQ(output.speeds.size(), 1U);
+    answer_speed(filler, 50, true);
+    ASSERT_EQ(output.speeds.size(), 2U);
+    EXPECT_EQ(output.speeds[1].second, 0);
+}
+
+// A run that an earlier owner had throttled to 0 kept that speed for ever: the
+// next owner assumed full speed.
+TEST_F(owner_order, a_new_owner_sends_the_speed_of_each_best_effort_run) {
+    const auto [serving, filler] = start_serving_and_best_effort();
+    poll_with_tail_latency(serving, filler, 200);
+    answer_speed(filler, 0, true);
+    order_log next_output;
+    owner next({.epoch = 4}, next_output);
+    next.target_listed(entry(), clock());
+    for (const auto& [id, job] : under_test.jobs().all())
+        next.restore_job(job, clock());
+    next.take_over(clock());
+    next.ownership_confirmed(clock().now);
+    next.tick(clock());
+    for (int i = 0; i < 3; ++i) {
+        next.poll_answered(
+            TARGET,
+            {.order = {.answered = true,
+                       .sent = true,
+                       .done = true,
+                       .clock_ms = now_ms},
+             .incarnation = INCARNATION,
+             .running = {{.task = serving.task, .run = 1, .measurement = 10},
+                         {.task = filler.task, .run = 1}}},
+            clock().now, clock());
+        ASSERT_EQ(next_output.speeds.size(), 1U);
+        EXPECT_EQ(next_output.speeds[0], std::pair(filler.task, 100));
+        if (i == 0)
+            next.throttle_answered(
+                TARGET, filler.task, 1, 100,
+                {.answered = true, .sent = true, .done = true});
+    }
+}
--- a/tests/process_front_test.cpp
+++ b/tests/process_front_test.cpp
@@ -115,7 +115,9 @@
         return "http://" + network_prefix_ + "100:21001" + path;
     }
 
-    void put_config(int version, const std::vector<std::string>& keys) {
+    /** @param other_keys Keys of a second organisation. */
+    void put_config(int version, const std::vector<std::string>& keys,
+                    const std::vector<std::string>& other_keys = {}) {
         const json queue = {
             {"name", "q"},
             {"hostname", "shop.example"},
@@ -130,7 +132,9 @@
             {"configVersion", version},
             {"routes", {queue}},
             {"services", {{{"name", "pool"}}}},
-            {"tenants", {{{"name", "a"}, {"apiKeys", keys}, {"weight", 10}}}}};
+            {"tenants",
+             {{{"name", "a"}, {"apiKeys", keys}, {"weight", 10}},
+              {{"name", "b"}, {"apiKeys", other_keys}, {"weight", 10}}}}};
         send_http_request(
             {.method = "POST",
              .url = admin_url("/admin/store?topic=keyed.op&put=config"),
@@ -248,6 +252,162 @@
              [&] { return call("GET", "", 2, "", "key-2").status == 200; });
 }
 
+// Any organisation could cancel the jobs of every other one.
+TEST_F(front_process_test, only_the_organisation_of_a_job_can_cancel_it) {
+    put_config(2, {"key-1"}, {"key-b"});
+    for (int host = 1; host <= 3; ++host)
+        wait_for("the second key to work", [&] {
+            return call("GET", "", host, "", "key-b").status == 200;
+        });
+    for (int i = 1; i <= 3; ++i)
+        submit(job_name(i), i, 2, 0, true);
+    wait_for("all tasks running", [&] { return audit_count("present") == 6; });
+    for (int i = 1; i <= 3; ++i) {
+        const auto foreign = call("DELETE", job_name(i), i, "", "key-b");
+        const auto unknown = call("DELETE", job_name(90 + i), i, "", "key-b");
+        EXPECT_EQ(foreign.status, unknown.status);
+        EXPECT_EQ(foreign.body, unknown.body);
+    }
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+    EXPECT_EQ(audit_count("present"), 6);
+    const int old_owner = owner_host();
+    ASSERT_NE(old_owner, 0);
+    kill_process(hosts_.at(old_owner));
+    hosts_.erase(old_owner);
+    const int other = hosts_.begin()->first;
+    // The cancellation by another organisation stays in the store.
+    wait_for("a job's own organisation to cancel it",
+             [&] { return call("DELETE", job_name(1), other).status == 200; });
+    wait_for("the end of its tasks",
+             [&] { return audit_count("present") == 4; });
+    for (int i = 2; i <= 3; ++i)
+        EXPECT_EQ(job_state(job_name(i), other), "running");
+    EXPECT_EQ(job_state(job_name(1), other), "canceled");
+}
+
+// An owner ended when it loaded a record of progress with a key of one byte.
+TEST_F(front_process_test, odd_records_of_the_store_end_no_host) {
+    const std::string deep =
+        std::string(100'000, '[') + std::string(100'000, ']');
+    const std::vector<std::string> odd_values{
+        "\xff",
+        "null",
+        "7",
+        deep,
+        "[]",
+        "1 1 [99]",
+        "1 1 " + deep,
+        R"(["h9","dc1","10.1.1.1:99999",1])",
+        R"([1e300,"h9","host.invalid:80",1])",
+        R"(["x","q","a",1,"p",0,0,0,[[2147483647,0]]])"};
+    for (const char* topic :
+         {"keyed.progress", "keyed.jobs", "keyed.members"}) {
+        int number = 0;
+        for (const std::string& value : odd_values)
+            for (const char* prefix : {"", "p/", "j/", "c/", "host/", "%FF"}) {
+                const std::string key = prefix + std::to_string(++number % 10);
+                EXPECT_EQ(
+                    send_http_request(
+                        {.method = "POST",
+                         .url = admin_url("/admin/store?topic=" +
+                                          std::string(topic) + "&put=" + key),
+                         .body = value})
+                        .status,
+                    200);
+            }
+    }
+    submit(job_name(1), 1, 3, 100);
+    const int old_owner = owner_host();
+    ASSERT_NE(old_owner, 0);
+    kill_process(hosts_.at(old_owner));
+    hosts_.erase(old_owner);
+    const int other = hosts_.begin()->first;
+    submit(job_name(2), other, 3, 100);
+    for (int i = 1; i <= 2; ++i)
+        wait_for("completion",
+                 [&] { return job_state(job_name(i), other) == "completed"; });
+    for (const auto& [host, pid] : hosts_) {
+        int status = 0;
+        EXPECT_EQ(waitpid(pid, &status, WNOHANG), 0)
+            << "host " << host << " ended with status " << status;
+    }
+}
+
+// An entry whose key is not valid UTF-8 ended each host that became the owner
+// and asked for advice about it.
+TEST_F(front_process_test, odd_entries_of_targets_end_no_host) {
+    const std::string deep = std::string(100'000, '[');
+    const std::string good_start = R"({"service":"pool","zone":"dc1",)"
+                                   R"("state":"ready","address":")" +
+                                   network_prefix_ + "100:21011\"";
+    const std::string good_end =
+        R"(,"capacity":{"cpu":1000,"memMb":64},"labels":["a"])";
+    const std::vector<std::string> odd_entries{
+        "",
+        "\xff\xfe",
+        "[",
+        "null",
+        deep + std::string(100'000, ']'),
+        R"({"labels":)" + deep + std::string(100'000, ']') + "}",
+        R"({"capacity":{"cpu":)" + deep + std::string(100'000, ']') + "}}",
+        good_start + R"(,"born":1e400)" + good_end + "}",
+        good_start + R"(,"born":1e300)" + good_end + "}",
+        good_start + R"(,"born":18446744073709551616)" + good_end + "}",
+        good_start + R"(,"seq":1e400)" + good_end + "}",
+        good_start + R"(,"capacity":{"cpu":1e300}})",
+        good_start + R"(,"capacity":{"cpu":-9223372036854775809}})",
+        good_start + good_end + R"(,"address":"10.1.1.1:99999"})",
+        good_start + good_end + R"(,"address":"10.1.1.1:0"})",
+        good_start + good_end + R"(,"address":"10.1.1.1:-1"})",
+        good_start + good_end + R"(,"address":":80"})",
+        good_start + good_end + R"(,"address":"10.1.1.1"})",
+        good_start + good_end + R"(,"address":"host.invalid:80"})",
+        good_start + good_end + ",\"address\":\"" + std::string(200'000, 'a') +
+            "\"}",
+        good_start + good_end + R"(,"address":"10.1.1.1:80\r\nA: b"})",
+        good_start + good_end + R"(,"state":7})"};
+    const auto write = [&](const std::string& key, const std::string& value) {
+        EXPECT_EQ(send_http_request(
+                      {.method = "POST",
+                       .url = admin_url(
+                           "/admin/store?topic=keyed.servers&put=" + key),
+                       .body = value})
+                      .status,
+                  200);
+    };
+    const auto expect_all_running = [&] {
+        for (const auto& [host, pid] : hosts_) {
+            int status = 0;
+            ASSERT_EQ(waitpid(pid, &status, WNOHANG), 0)
+                << "host " << host << " ended with status " << status;
+        }
+    };
+    submit(job_name(1), 1, 3, 1500);
+    for (const char* key : {"odd%FF", "t%0D%0AX-Header:%201", "t%201"})
+        write(key, good_start + good_end + "}");
+    int number = 0;
+    for (const std::string& entry : odd_entries) {
+        write("odd" + std::to_string(++number), entry);
+        write("t0", entry); // Until the target writes its entry again.
+    }
+    for (int i = 2; i < 8; ++i)
+        submit(job_name(i), 1 + i % 3, 3, 100);
+    for (int i = 1; i < 8; ++i)
+        wait_for("completion",
+                 [&] { return job_state(job_name(i), 1) == "completed"; });
+    expect_all_running();
+    // The next owner reads the entries as a snapshot.
+    const int old_owner = owner_host();
+    ASSERT_NE(old_owner, 0);
+    kill_process(hosts_.at(old_owner));
+    hosts_.erase(old_owner);
+    const int other = hosts_.begin()->first;
+    submit(job_name(20), other, 3, 100);
+    wait_for("completion of the later job",
+             [&] { return job_state(job_name(20), other) == "completed"; });
+    expect_all_running();
+}
+
 TEST_F(front_process_test, jobs_continue_after_the_owner_is_killed) {
     submit(job_name(50), 2, 4, 0, true);
     for (int i = 0; i < 6; ++i)
