Give up tasks that crash the targets that start them

Cause: a run that was lost with its target left no trace in its task. The lease lapsed after 3.9 s and the task was started on another target, for ever.

Change: crash_suspects keeps the lost runs of a task as part of its progress: pending once the lease has lapsed, confirmed when a newer process answers or registers, when the target is delisted while silent, or when another id registers at its address; removed when the same process answers again. A crash is blamed on the runs that had not survived their start for 1 s, otherwise on all. Suspects share no target with another suspect at its start, and after two crashes with no run at its start. A job is given up after three crashes of one task, two of them with the task as the only one to blame, and in any case after five; while pending losses could decide, the task waits. 10 s on a target clear a task. Runs that had survived their start are not blamed when many targets fall silent together. Suspects are not moved as stragglers: the start would count. Rows of progress gain a column only for tasks with crashes; rows without it are read as before.

--- a/src/dispatch/job_table.cpp
+++ b/src/dispatch/job_table.cpp
@@ -230,6 +230,16 @@
     return true;
 }
 
+bool job_table::give_up(const job_id& id, std::int64_t wall_ms) {
+    job_entry* job = find(id);
+    if (job == nullptr || job->ended())
+        return false;
+    job->state = job_state::failed;
+    job->ended_ms = wall_ms;
+    mark_changed(id);
+    return true;
+}
+
 void job_table::record_checkpoint(const task_id& id,
                                   const std::string& checkpoint) {
     if (checkpoint.empty())
--- a/src/dispatch/job_table.hpp
+++ b/src/dispatch/job_table.hpp
@@ -19,6 +19,25 @@
     done,    ///< A run succeeded.
 };
 
+/** Part of a run in the crash of its target. */
+enum class crash_blame : std::uint8_t {
+    none,   ///< It had survived its start, others had not.
+    late,   ///< It had survived its start, as had all others.
+    shared, ///< It may have been at its start, like others.
+    sole,   ///< No other run was at its start.
+};
+
+/** A run that was lost because its target crashed or may have crashed. */
+struct crash_record {
+    target_id target;
+    std::int64_t incarnation = 0;
+    std::int32_t run = 0;
+    crash_blame blame = crash_blame::none;
+    bool confirmed = false; ///< The process of the target has ended.
+
+    bool operator==(const crash_record&) const = default;
+};
+
 /** Progress of one task of a step. */
 struct task_entry {
     task_phase phase = task_phase::waiting;
@@ -30,6 +49,7 @@
     target_id avoid_target;           ///< Target on which the last run failed.
     /** A run was stopped as too slow, to restart elsewhere; done only once. */
     bool moved = false;
+    std::vector<crash_record> crashes; ///< Of targets with a run of the task.
 };
 
 /** Progress of one step of a repeat. */
@@ -143,6 +163,9 @@
      */
     void record_checkpoint(const task_id& task, const std::string& checkpoint);
 
+    /** Ends a job as failed. @return False if it has already ended. */
+    bool give_up(const job_id& id, std::int64_t wall_ms);
+
     void remove(const job_id& id);
 
     /** Adds a job to those whose progress has to be stored. */
--- a/src/dispatch/owner_base.cpp
+++ b/src/dispatch/owner_base.cpp
@@ -53,7 +53,12 @@
 }
 
 owner::owner(const owner_settings& settings, owner_output& output)
-    : settings_(settings), output_(output) {}
+    : settings_(settings), output_(output),
+      suspects_(jobs_, targets_,
+                [this](std::string_view event, const job_id& job,
+                       const std::string& detail) {
+                    output_.log(event, job, detail);
+                }) {}
 
 void owner::set_evacuated(std::set<data_centre_id> centres) {
     evacuated_ = std::move(centres);
@@ -67,6 +72,7 @@
 
 void owner::target_listed(const target_entry& entry, const owner_clock& clock) {
     const target_state* known = targets_.find(entry.id);
+    suspects_.target_listed(known, entry);
     const bool is_new = known == nullptr;
     const std::int64_t old_incarnation = is_new ? 0 : known->entry.incarnation;
     target_state& target = targets_.add_or_update(entry);
@@ -85,6 +91,7 @@
 }
 
 void owner::target_delisted(const target_id& target) {
+    suspects_.target_delisted(target);
     targets_.mark_delisted(target);
 }
 
@@ -141,6 +148,7 @@
         live_jobs_.insert(job.record.id);
     const job_id id = job.record.id;
     jobs_.restore(std::move(job), clock.now);
+    suspects_.job_restored(id);
     jobs_.start_due_repeats(*jobs_.find(id), clock.wall_ms, clock.now);
 }
 
@@ -186,6 +194,11 @@
                              .incarnation = task.incarnation});
                         target->listed = false;
                     }
+                    suspects_.run_inherited(
+                        *target,
+                        {{id, repeat_number, static_cast<std::int32_t>(s)},
+                         static_cast<std::int32_t>(i)},
+                        task.incarnation);
                     targets_.add_run(
                         *target,
                         {{id, repeat_number, static_cast<std::int32_t>(s)},
@@ -292,6 +305,7 @@
     for (auto& [id, target] : targets_.all())
         if (!target.responsive)
             expire_runs(target, clock);
+    give_up_convicted(clock);
     if (schedule_due_ && clock.now >= next_schedule_) {
         schedule_due_ = false;
         next_schedule_ =
--- a/src/dispatch/owner_base.hpp
+++ b/src/dispatch/owner_base.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "dispatch/advice_table.hpp"
+#include "dispatch/crash_suspects.hpp"
 #include "dispatch/job_table.hpp"
 #include "dispatch/route_type.hpp"
 #include "dispatch/target_table.hpp"
@@ -197,6 +198,12 @@
                                            const target_state& target) const;
     [[nodiscard]] std::int32_t free_slots(const runnable_step& step,
                                           const target_state& target) const;
+    /** Places the suspects of a step, each away from other unproven runs. */
+    void place_suspects(const runnable_step& step,
+                        const std::vector<target_state*>& candidates,
+                        const owner_clock& clock);
+    /** Gives up the jobs with tasks that crash their targets. */
+    void give_up_convicted(const owner_clock& clock);
     [[nodiscard]] resources remaining_quota(const runnable_step& step) const;
     void request_advice(const runnable_step& step, const owner_clock& clock);
     void send_starts(const owner_clock& clock);
@@ -267,6 +274,7 @@
     job_table jobs_;
     target_table targets_;
     advice_table advice_;
+    crash_suspects suspects_;
     std::set<job_id> live_jobs_; ///< Jobs that have not ended.
     /** Token bucket for the submission rate of an organisation. */
     struct rate_bucket {
--- a/src/dispatch/owner_place.cpp
+++ b/src/dispatch/owner_place.cpp
@@ -32,6 +32,8 @@
 /** Added to the expected duration of a call. */
 constexpr millis ADVICE_TIMEOUT_MARGIN{1500};
 constexpr std::int32_t MAX_SLOTS_PER_TARGET = 64;
+/** Between placement rounds while only suspects wait. */
+constexpr millis SUSPECT_PERIOD{50};
 
 std::int64_t slots_in(std::int64_t available, std::int64_t demand) {
     return demand <= 0 ? MAX_SLOTS_PER_TARGET
@@ -136,12 +138,17 @@
 void owner::schedule(const owner_clock& clock) {
     if (!may_send_orders(clock.now))
         return;
+    suspects_.begin_round(clock.now);
     collect_schedulable(clock.now);
     advice_.begin_round();
     for (const runnable_step& step : runnable_steps(clock))
         if (allocation_for(step.spec->demand, step.spec->best_effort)
                 .fits_in(largest_free_))
             place_step(step, clock);
+    if (suspects_.has_waiting()) {
+        schedule_due_ = true;
+        next_schedule_ = std::max(next_schedule_, clock.now + SUSPECT_PERIOD);
+    }
 }
 
 bool owner::matches_constraints(const runnable_step& step,
@@ -156,6 +163,8 @@
 
 std::int32_t owner::free_slots(const runnable_step& step,
                                const target_state& target) const {
+    if (target.exclusive)
+        return 0;
     std::int32_t slots =
         slots_for(target.free_resources(),
                   allocation_for(step.spec->demand, step.spec->best_effort));
@@ -210,6 +219,8 @@
     const std::string& rack = step.spec->preferred_rack;
     std::sort(candidates.begin(), candidates.end(),
               [&](const target_state* a, const target_state* b) {
+                  if (a->unproven_suspect != b->unproven_suspect)
+                      return b->unproven_suspect;
                   const bool a_far = !rack.empty() && a->entry.rack != rack;
                   const bool b_far = !rack.empty() && b->entry.rack != rack;
                   if (a_far != b_far)
@@ -220,7 +231,10 @@
                       return best_effort ? a_free > b_free : a_free < b_free;
                   return a->entry.id < b->entry.id;
               });
+    const bool suspects = suspects_.active();
     if (step.spec->gang) {
+        if (suspects)
+            suspects_.select_for_gang(step.ref, candidates);
         place_gang(step, candidates, clock);
     } else {
         step_entry& entry = *jobs_.find(step.ref);
@@ -228,7 +242,9 @@
         for (size_t i = 0;
              i < entry.tasks.size() && position < candidates.size(); ++i) {
             const task_entry& task = entry.tasks[i];
-            if (task.phase != task_phase::waiting)
+            if (task.phase != task_phase::waiting ||
+                (suspects && !task.crashes.empty() &&
+                 assess(task.crashes) != suspicion::none))
                 continue;
             if (!step.spec->demand.fits_in(remaining_quota(step)))
                 return;
@@ -248,6 +264,8 @@
             place_task(step, static_cast<std::int32_t>(i), task.run + 1,
                        *choice, clock);
         }
+        if (suspects)
+            place_suspects(step, candidates, clock);
     }
     if (step.queue->advice && jobs_.find(step.ref)->waiting > 0)
         request_advice(step, clock);
@@ -342,6 +360,7 @@
          .ticket_expires = ticket.expires,
          .phase_since = clock.now,
          .tail_latency_target = step.spec->tail_latency_target});
+    suspects_.placed(target, task);
     unstored_runs_.emplace_back(target.entry.id, task);
 }
 
--- a/src/dispatch/owner_poll.cpp
+++ b/src/dispatch/owner_poll.cpp
@@ -117,6 +117,7 @@
         target.next_poll = clock.now + POLL_RETRY_PERIOD;
         return;
     }
+    suspects_.target_answered(target, answer.incarnation);
     if (answer.incarnation != 0 &&
         answer.incarnation != target.entry.incarnation)
         handle_restart(target, answer.incarnation, clock);
@@ -171,6 +172,7 @@
     for (const listed_run& run : answer.running) {
         present.insert(run.task);
         process_listed_run(target, run, clock);
+        suspects_.run_listed(target, run);
     }
     std::vector<task_id> gone;
     for (auto& [task, run] : target.runs) {
@@ -300,6 +302,8 @@
         const task_entry* entry = jobs_.find(task);
         if (entry == nullptr || entry->moved || spec->long_lived ||
             spec->gang || run.phase != run_phase::running ||
+            // A further start would count against the limit for suspects.
+            suspects_.suspicion_of(task) != suspicion::none ||
             run.speed_percent < FULL_SPEED_PERCENT)
             continue;
         if (selected(*jobs_.find(task.step), run))
@@ -376,6 +380,7 @@
                 : run.phase != run_phase::recording && leases_expired)
             gone.push_back(task);
     }
+    suspects_.runs_expired(target, gone);
     for (const task_id& task : gone) {
         output_.log("run_lapsed", task.step.job,
                     "target=" + target.entry.id.value);
--- a/src/dispatch/owner_start.cpp
+++ b/src/dispatch/owner_start.cpp
@@ -88,6 +88,7 @@
     if (answer.done) {
         run.phase = run_phase::running;
         run.started = clock.now;
+        run.started_clock_ms = answer.clock_ms;
         return;
     }
     if (answer.sent && !answer.answered) {
--- a/src/dispatch/record_codec.cpp
+++ b/src/dispatch/record_codec.cpp
@@ -57,10 +57,36 @@
             .max_unavailable = row.at(17).get<std::int32_t>()};
 }
 
+/** Position of the crashes in a task's row; rows without crashes end here. */
+constexpr size_t CRASHES_COLUMN = 7;
+
+json encode_crashes(const std::vector<crash_record>& crashes) {
+    json rows = json::array();
+    for (const crash_record& crash : crashes)
+        rows.push_back(
+            json::array({crash.target, crash.incarnation, crash.run,
+                         static_cast<int>(crash.blame), crash.confirmed}));
+    return rows;
+}
+
+std::vector<crash_record> decode_crashes(const json& rows) {
+    std::vector<crash_record> out;
+    for (const json& row : rows)
+        out.push_back({.target = row.at(0).get<target_id>(),
+                       .incarnation = row.at(1).get<std::int64_t>(),
+                       .run = row.at(2).get<std::int32_t>(),
+                       .blame = static_cast<crash_blame>(row.at(3).get<int>()),
+                       .confirmed = row.at(4).get<bool>()});
+    return out;
+}
+
 json encode_task(size_t index, const task_entry& task) {
-    return json::array({index, static_cast<int>(task.phase), task.run,
-                        task.failed, task.checkpoint, task.target,
-                        task.incarnation});
+    json row =
+        json::array({index, static_cast<int>(task.phase), task.run, task.failed,
+                     task.checkpoint, task.target, task.incarnation});
+    if (!task.crashes.empty())
+        row.push_back(encode_crashes(task.crashes));
+    return row;
 }
 
 json encode_tasks(const step_entry& step) {
@@ -83,6 +109,8 @@
         task.checkpoint = row.at(4).get<std::string>();
         task.target = row.at(5).get<target_id>();
         task.incarnation = row.at(6).get<std::int64_t>();
+        if (row.size() > CRASHES_COLUMN)
+            task.crashes = decode_crashes(row.at(CRASHES_COLUMN));
         if (task.phase != task_phase::waiting)
             --step.waiting;
         if (task.phase == task_phase::done)
--- a/src/dispatch/target_table.hpp
+++ b/src/dispatch/target_table.hpp
@@ -34,6 +34,9 @@
     mono_time phase_since{}; ///< Start of the phase or of the last stop order.
     mono_time started{};     ///< When the target confirmed the start.
     mono_time stop_acked{};  ///< When the target confirmed the stop.
+    std::int64_t started_clock_ms = 0; ///< Target's clock then; 0: unknown.
+    /** For this long after its start the target has reported the run. */
+    millis survived{0};
     bool stop_sent = false;
     /** The start order had no answer and may still be carried out. */
     bool start_uncertain = false;
@@ -83,6 +86,13 @@
     /** Last assessed as slow or stalled; reset by a run that ends in time. */
     bool degraded = false;
 
+    /** @name Set by `crash_suspects` in each placement round. */
+    ///@{
+    int unproven_runs = 0;
+    bool unproven_suspect = false; ///< One of them is of a suspect.
+    bool exclusive = false; ///< Receives no other runs until that is proven.
+    ///@}
+
     [[nodiscard]] resources free_resources() const {
         return entry.capacity - allocated;
     }
--- a/tests/dispatch_world.cpp
+++ b/tests/dispatch_world.cpp
@@ -18,6 +18,8 @@
 constexpr millis START_TIMEOUT{350}; ///< For the answer to a start order.
 /** After which a delayed start order is carried out. */
 constexpr millis START_DELAY{3000};
+/** After which the entry of a target that has crashed is removed. */
+constexpr millis LIST_TIMEOUT{1500};
 const std::string SERVICE = "pool";
 
 } // namespace
@@ -39,6 +41,7 @@
             .labels = {"a", "r1-" + std::to_string(i / TARGETS_PER_RACK)},
             .rack = "r1-" + std::to_string(i / TARGETS_PER_RACK),
             .incarnation = 1};
+        listed_[target.entry.id] = target.entry;
         targets_.push_back(std::move(target));
     }
     config_.version = 1;
@@ -222,14 +225,14 @@
     if (std::bernoulli_distribution(delayed_start_share_)(random_)) {
         after(START_TIMEOUT, unanswered);
         after(START_DELAY, [this, address, order] {
-            if (!targets_[static_cast<size_t>(index_of(address.id))].silent)
+            if (answers(address.id))
                 deliver_start(address, order, false);
         });
         return;
     }
     after(options_.order_latency / 2, [this, address, order, unanswered,
                                        answer_arrives = !drop_start_answers_] {
-        if (targets_[static_cast<size_t>(index_of(address.id))].silent)
+        if (!answers(address.id))
             after(START_TIMEOUT, unanswered);
         else
             deliver_start(address, order, answer_arrives);
@@ -276,6 +279,16 @@
                             : now_ + takes.count(),
             spec.demand};
         answer.done = true;
+        ++starts_by_task_[order.task];
+        if (const auto deadly = deadly_tasks_.find(order.task);
+            deadly != deadly_tasks_.end())
+            after(deadly->second.fuse, [this, index, id = address.id,
+                                        task = order.task] {
+                const fake_target& executor =
+                    targets_[static_cast<size_t>(index)];
+                if (executor.entry.id == id && executor.runs.contains(task))
+                    crash_target(index, deadly_tasks_.at(task).options);
+            });
         if (!spec.long_lived || target.failing)
             after(takes, [this, index, task = order.task, run = order.run] {
                 fake_target& executor = targets_[static_cast<size_t>(index)];
@@ -312,8 +325,8 @@
               fake_target& target =
                   targets_[static_cast<size_t>(index_of(address.id))];
               order_answer answer{.sent = true};
-              if (!target.silent && fencing_token >= target.fencing_token &&
-                  !ignore_stops_) {
+              if (answers(address.id) &&
+                  fencing_token >= target.fencing_token && !ignore_stops_) {
                   answer.answered = true;
                   answer.done = true;
                   target.stopped_runs[task] =
@@ -340,25 +353,16 @@
                           const poll_order& order) {
     const int index = index_of(address.id);
     const mono_time sent_at = clock().now;
-    after(options_.order_latency / 2, [this, index, order, sent_at] {
+    const target_id id = address.id;
+    after(options_.order_latency / 2, [this, index, id, order, sent_at] {
         fake_target& target = targets_[static_cast<size_t>(index)];
         expire_leases(target);
-        if (target.silent) {
-            after(order.timeout, [this, index, sent_at, order, epoch = epoch_] {
-                if (epoch != epoch_)
-                    return;
-                owner_->poll_answered(
-                    target_name(index),
-                    {.order = {.sent = true}, .concurrent = order.concurrent},
-                    sent_at, clock());
-                schedule_tick();
-            });
-            return;
-        }
+        if (!answers(id))
+            return fail_poll(id, order, sent_at, order.timeout);
         if (order.fencing_token < target.fencing_token) {
-            deliver_answer([this, index, sent_at] {
+            deliver_answer([this, id, sent_at] {
                 owner_->poll_answered(
-                    target_name(index),
+                    id,
                     {.order = {.answered = true,
                                .sent = true,
                                .refusal = order_refusal::stale_token}},
@@ -372,19 +376,44 @@
             return end.sequence <= order.last_seen;
         });
         if (!target.ended.empty() || order.wait.count() == 0)
-            return send_poll_answer(index, order, sent_at);
+            return send_poll_answer(id, order, sent_at);
         auto answered = std::make_shared<bool>(false);
-        const auto answer = [this, index, order, sent_at, answered] {
-            if (!std::exchange(*answered, true))
-                send_poll_answer(index, order, sent_at);
+        const auto answer = [this, id, order, sent_at, answered,
+                             life = target.lives] {
+            if (std::exchange(*answered, true))
+                return;
+            const fake_target& now =
+                targets_[static_cast<size_t>(index_of(id))];
+            if (now.down || now.lives != life)
+                return fail_poll(id, order, sent_at, options_.order_latency);
+            send_poll_answer(id, order, sent_at);
         };
         target.pending_poll = answer;
         after(order.wait, answer);
     });
 }
 
-void simulated_cell::send_poll_answer(int index, const poll_order& order,
+bool simulated_cell::answers(const target_id& id) const {
+    const fake_target& target = targets_[static_cast<size_t>(index_of(id))];
+    return !target.silent && !target.down && target.entry.id == id;
+}
+
+void simulated_cell::fail_poll(const target_id& id, const poll_order& order,
+                               mono_time sent_at, millis delay) {
+    after(delay, [this, id, sent_at, order, epoch = epoch_] {
+        if (epoch != epoch_)
+            return;
+        owner_->poll_answered(
+            id, {.order = {.sent = true}, .concurrent = order.concurrent},
+            sent_at, clock());
+        schedule_tick();
+    });
+}
+
+void simulated_cell::send_poll_answer(const target_id& id,
+                                      const poll_order& order,
                                       mono_time sent_at) {
+    const int index = index_of(id);
     const fake_target& target = targets_[static_cast<size_t>(index)];
     poll_answer answer{
         .order = {.answered = true,
@@ -403,8 +432,8 @@
     for (const listed_end& end : target.ended)
         if (end.sequence > order.last_seen)
             answer.ended.push_back(end);
-    deliver_answer([this, index, answer, sent_at] {
-        owner_->poll_answered(target_name(index), answer, sent_at, clock());
+    deliver_answer([this, id, answer, sent_at] {
+        owner_->poll_answered(id, answer, sent_at, clock());
     });
 }
 
@@ -478,8 +507,8 @@
         hosts.push_back({"h" + std::to_string(i)});
     owner_->set_hosts(hosts);
     owner_->ownership_confirmed(clock().now);
-    for (const fake_target& target : targets_)
-        owner_->target_listed(target.entry, clock());
+    for (const auto& [id, entry] : listed_)
+        owner_->target_listed(entry, clock());
     for (const auto& [id, record] : accepted_) {
         job_entry job{.record = record};
         const auto progress = stored_.find(progress_key(id));
@@ -503,13 +532,76 @@
 
 void simulated_cell::restart_target(int target) {
     fake_target& restarted = targets_[static_cast<size_t>(target)];
-    restarted.runs.clear();
-    restarted.ended.clear();
-    restarted.last_end = 0;
-    restarted.fencing_token = 0;
-    restarted.lease_end_ms = 0;
-    restarted.stopped_runs.clear();
+    reset(restarted);
     ++restarted.entry.incarnation;
+    listed_[restarted.entry.id] = restarted.entry;
+}
+
+void simulated_cell::reset(fake_target& target) {
+    target.runs.clear();
+    target.ended.clear();
+    target.last_end = 0;
+    target.fencing_token = 0;
+    target.lease_end_ms = 0;
+    target.stopped_runs.clear();
+}
+
+void simulated_cell::list_target(const target_entry& entry) {
+    listed_[entry.id] = entry;
+    owner_->target_listed(entry, clock());
+    schedule_tick();
+}
+
+void simulated_cell::crash_target(int index, const crash_options& options) {
+    fake_target& target = targets_[static_cast<size_t>(index)];
+    if (std::exchange(target.down, true))
+        return;
+    reset(target);
+    if (target.pending_poll)
+        std::exchange(target.pending_poll, nullptr)();
+    const target_id id = target.entry.id;
+    after(LIST_TIMEOUT, [this, index, id, life = target.lives] {
+        const fake_target& now = targets_[static_cast<size_t>(index)];
+        if (now.lives != life && now.entry.id == id)
+            return; // Back under the same id.
+        listed_.erase(id);
+        owner_->target_delisted(id);
+        schedule_tick();
+    });
+    after(options.downtime, [this, index, options] {
+        fake_target& back = targets_[static_cast<size_t>(index)];
+        back.down = false;
+        ++back.lives;
+        ++back.entry.incarnation;
+        if (!options.keeps_id)
+            back.entry.id = {target_name(index).value + "." +
+                             std::to_string(back.lives)};
+        list_target(back.entry);
+    });
+}
+
+void simulated_cell::set_capacity(int target, const resources& capacity) {
+    fake_target& changed = targets_[static_cast<size_t>(target)];
+    changed.entry.capacity = capacity;
+    list_target(changed.entry);
+}
+
+int simulated_cell::sound_jobs_failed() const {
+    std::set<job_id> deadly;
+    for (const auto& [task, how] : deadly_tasks_)
+        deadly.insert(task.step.job);
+    return static_cast<int>(
+        std::count_if(accepted_.begin(), accepted_.end(), [&](const auto& it) {
+            return !deadly.contains(it.first) &&
+                   state_of(it.first) == job_state::failed;
+        }));
+}
+
+int simulated_cell::target_of(const task_id& task) const {
+    for (size_t i = 0; i < targets_.size(); ++i)
+        if (targets_[i].runs.contains(task))
+            return static_cast<int>(i);
+    return -1;
 }
 
 void simulated_cell::set_failing(int target, bool failing) {
--- a/tests/dispatch_world.hpp
+++ b/tests/dispatch_world.hpp
@@ -43,6 +43,13 @@
     double eligible_share = 0.7;
 };
 
+/** How a target crashes and comes back. */
+struct crash_options {
+    millis downtime{3000};
+    /** It comes back under its id; otherwise under a new one. */
+    bool keeps_id = false;
+};
+
 /** Outcome of a set of jobs. */
 struct job_outcome {
     int jobs = 0;
@@ -82,6 +89,18 @@
     ///@{
     void set_silent(int target, bool silent);
     void restart_target(int target);
+    /**
+     * The process of a target ends without notice; another one starts later at
+     * its address. Its entry is removed from the list in between.
+     */
+    void crash_target(int target, const crash_options& options);
+    /** Each run of the task crashes its target some time after its start. */
+    void set_deadly(const task_id& task, millis fuse,
+                    const crash_options& options) {
+        deadly_tasks_[task] = {fuse, options};
+    }
+    /** Changes the capacity in a target's entry; its runs stay. */
+    void set_capacity(int target, const resources& capacity);
     void set_failing(int target, bool failing);
     void set_slow(int target, double factor);
     /** Multiplies the duration of a task on any target. */
@@ -112,6 +131,18 @@
         return overcommitted_starts_;
     }
     [[nodiscard]] int starts() const { return starts_; }
+    /** Start orders for a task that targets carried out. */
+    [[nodiscard]] int starts_of(const task_id& task) const {
+        const auto found = starts_by_task_.find(task);
+        return found == starts_by_task_.end() ? 0 : found->second;
+    }
+    [[nodiscard]] job_state state_of(const job_id& job) const {
+        return owner_->state_of(job, accepted_.at(job).organisation);
+    }
+    /** Jobs without deadly tasks that were ended as failed. */
+    [[nodiscard]] int sound_jobs_failed() const;
+    /** Target that a task runs on; -1: none. */
+    [[nodiscard]] int target_of(const task_id& task) const;
     [[nodiscard]] int ticks() const { return ticks_; }
     [[nodiscard]] std::size_t runs_of(const job_id& job) const;
     [[nodiscard]] std::size_t runs_on(int target) const {
@@ -150,6 +181,8 @@
         /** Highest run number that may no longer start. */
         std::map<task_id, std::int32_t> stopped_runs;
         bool silent = false;
+        bool down = false; ///< Its process has ended.
+        int lives = 1;     ///< Processes so far.
         bool failing = false;
         double slowdown = 1;
         std::function<void()> pending_poll;
@@ -182,8 +215,16 @@
                        bool answer_arrives);
     void schedule_tick();
     void end_run(fake_target& target, task_id task, run_end how);
-    void send_poll_answer(int target, const poll_order& order,
+    void send_poll_answer(const target_id& target, const poll_order& order,
                           mono_time sent_at);
+    /** The owner learns that a poll has no answer. */
+    void fail_poll(const target_id& target, const poll_order& order,
+                   mono_time sent_at, millis delay);
+    /** Tells whether a process with this id answers. */
+    [[nodiscard]] bool answers(const target_id& id) const;
+    void list_target(const target_entry& entry);
+    /** Ends the process of a target. */
+    static void reset(fake_target& target);
     void expire_leases(fake_target& target);
     int index_of(const target_id& id) const;
     [[nodiscard]] millis actual_duration(const task_id& task);
@@ -213,6 +254,14 @@
     double delayed_start_share_ = 0;
     bool ignore_stops_ = false;
     std::map<task_id, double> task_slowdowns_;
+    struct deadly_task {
+        millis fuse{0};
+        crash_options options;
+    };
+    std::map<task_id, deadly_task> deadly_tasks_;
+    std::map<task_id, int> starts_by_task_;
+    /** The platform's list of targets. */
+    std::map<target_id, target_entry> listed_;
     bool tick_pending_ = false;
     std::int64_t tick_at_ = 0;
     int overlapping_runs_ = 0;
