Place waiting tasks when the capacity of a target grows

Cause: only a new target's entry led to a placement round. A known one whose capacity had grown stayed empty until another event.

Change: an entry with more of any resource than before leads to one. Tests for capacities that change, also for a shrunk target, which received no starts beyond its capacity while it was known at placement.

The two tests of shrunk targets passed before the change as well.

--- a/src/dispatch/owner_base.cpp
+++ b/src/dispatch/owner_base.cpp
@@ -75,7 +75,10 @@
     suspects_.target_listed(known, entry);
     const bool is_new = known == nullptr;
     const std::int64_t old_incarnation = is_new ? 0 : known->entry.incarnation;
+    const bool has_grown =
+        !is_new && !entry.capacity.fits_in(known->entry.capacity);
     target_state& target = targets_.add_or_update(entry);
+    schedule_due_ |= has_grown;
     if (is_new) {
         target.next_poll = clock.now;
         schedule_due_ = true;
