Start nothing on a target whose capacity shrank after the placement

Cause: capacity was checked only at placement. A start waits until its run is stored; when the target's entry shrank meanwhile, the start was sent all the same.

Change: send_start checks the allocation against the capacity; a run that no longer fits returns to waiting.

--- a/src/dispatch/owner_start.cpp
+++ b/src/dispatch/owner_start.cpp
@@ -43,7 +43,9 @@
     // The ticket may have expired while the run was being stored.
     const bool ticket_expired =
         !run.ticket.empty() && clock.now >= run.ticket_expires;
-    if (!wanted || ticket_expired || !target.responsive ||
+    // Its capacity may have shrunk since the placement.
+    const bool has_room = target.allocated.fits_in(target.entry.capacity);
+    if (!wanted || ticket_expired || !has_room || !target.responsive ||
         target.entry.draining || !may_send_orders(clock.now) ||
         target.clock_ms == 0 || evacuated_.contains(target.entry.data_centre)) {
         const step_ref step = task.step;
--- a/tests/capacity_change_test.cpp
+++ b/tests/capacity_change_test.cpp
@@ -80,3 +80,18 @@
     EXPECT_EQ(cell->runs_of(job), 4U);
     EXPECT_EQ(cell->overcommitted_starts(), 0);
 }
+
+// Guards against starts of tasks that were placed, but not stored, before the
+// capacity shrank.
+TEST(capacity_change, tasks_placed_before_the_capacity_shrank_wait) {
+    auto cell = make_cell();
+    cell->set_store_down(true);
+    const job_id job = cell->submit("q", "a", lasting_job(4));
+    cell->run_until(millis(3000));
+    cell->set_capacity(0, HALF_CAPACITY);
+    cell->run_until(millis(7000));
+    cell->set_store_down(false);
+    cell->run_until(millis(9000));
+    EXPECT_EQ(cell->runs_of(job), 2U);
+    EXPECT_EQ(cell->overcommitted_starts(), 0);
+}
