--- a/src/dispatch/owner_base.cpp
+++ b/src/dispatch/owner_base.cpp
@@ -70,7 +70,12 @@
 }
 
 owner::owner(const owner_settings& settings, owner_output& output)
-    : settings_(settings), output_(output) {}
+    : settings_(settings), output_(output),
+      suspects_(jobs_, targets_,
+                [this](std::string_view event, const job_id& job,
+                       const std::string& detail) {
+                    output_.log(event, job, detail);
+                }) {}
 
 void owner::set_evacuated(std::set<data_centre_id> centres) {
     evacuated_ = std::move(centres);
@@ -84,10 +89,12 @@
 
 void owner::target_listed(const target_entry& entry, const owner_clock& clock) {
     const target_state* known = targets_.find(entry.id);
+    suspects_.target_listed(known, entry);
     const bool is_new = known == nullptr;
     const bool was_current = !is_new && known->entry_current();
-    // Waiting tasks may start on a target that accepts work again.
-    if (!is_new && known->entry.draining && !entry.draining)
+    // Waiting tasks may start on a target that accepts work again or has grown.
+    if (!is_new && ((known->entry.draining && !entry.draining) ||
+                    !entry.capacity.fits_in(known->entry.capacity)))
         schedule_due_ = true;
     target_state& target = targets_.add_or_update(entry);
     if (entry.incarnation > target.incarnation)
@@ -107,6 +114,7 @@
 }
 
 void owner::target_delisted(const target_id& target) {
+    suspects_.target_delisted(target);
     targets_.mark_delisted(target);
 }
 
@@ -171,6 +179,7 @@
         live_jobs_.insert(job.record.id);
     const job_id id = job.record.id;
     jobs_.restore(std::move(job), clock.now);
+    suspects_.job_restored(id);
     jobs_.start_due_repeats(*jobs_.find(id), clock.wall_ms, clock.now);
 }
 
@@ -225,6 +234,11 @@
                             std::max(target->all_leases_end,
                                      latest_lease_end(clock.now) +
                                          settings_.max_unconfirmed);
+                    suspects_.run_inherited(
+                        *target,
+                        {{id, repeat_number, static_cast<std::int32_t>(s)},
+                         static_cast<std::int32_t>(i)},
+                        task.incarnation);
                     targets_.add_run(
                         *target,
                         {{id, repeat_number, static_cast<std::int32_t>(s)},
@@ -335,6 +349,7 @@
     for (auto& [id, target] : targets_.all())
         if (!target.responsive)
             expire_runs(target, clock);
+    give_up_convicted(clock);
     if (schedule_due_ && clock.now >= next_schedule_) {
         schedule_due_ = false;
         next_schedule_ =
--- a/src/dispatch/owner_poll.cpp
+++ b/src/dispatch/owner_poll.cpp
@@ -117,7 +117,7 @@
         return;
     target_state& target = *found;
     const bool before_restart = sent_at <= target.incarnation_since;
-    if (!answer.concurrent && !before_restart)
+    if (!answer.concurrent && sent_at == target.poll_sent_at)
         target.poll_pending = false;
     if (answer.order.refusal == order_refusal::stale_token) {
         superseded_ = true;
@@ -132,6 +132,7 @@
         target.next_poll = clock.now + POLL_RETRY_PERIOD;
         return;
     }
+    suspects_.target_answered(target, answer.incarnation);
     if (answer.incarnation != 0 && answer.incarnation != target.incarnation) {
         // The start times don't tell the order of two processes if a clock was
         // set back. One that answers a poll sent when the other was known
@@ -208,6 +209,7 @@
     for (const listed_run& run : answer.running) {
         present.insert(run.task);
         process_listed_run(target, run, clock);
+        suspects_.run_listed(target, run);
     }
     if (!answer.complete)
         return; // A run that is not listed may exist.
@@ -347,6 +349,8 @@
         const task_entry* entry = jobs_.find(task);
         if (entry == nullptr || entry->moved || spec->long_lived ||
             spec->gang || run.phase != run_phase::running ||
+            // A further start would count against the limit for suspects.
+            suspects_.suspicion_of(task) != suspicion::none ||
             run.speed_percent < FULL_SPEED_PERCENT)
             continue;
         if (selected(*jobs_.find(task.step), run))
@@ -382,6 +386,8 @@
 
 void owner::replace_process(target_state& target, std::int64_t incarnation,
                             const owner_clock& clock) {
+    if (target.incarnation != 0)
+        suspects_.process_ended(target);
     if (std::exchange(target.incarnation, incarnation) != 0)
         handle_restart(target, clock);
 }
@@ -393,6 +399,8 @@
                     " runs=" + std::to_string(target.runs.size()));
     for (auto& [task, run] : target.runs) {
         run.percent_clock_ms = 0;
+        run.started_clock_ms = 0;
+        run.survived = {};
         switch (run.phase) {
         case run_phase::running:
             run.phase = run_phase::unconfirmed;
@@ -487,6 +495,7 @@
     for (const auto& [task, run] : target.runs)
         if (run_expired(target, run, clock.now))
             gone.push_back(task);
+    suspects_.runs_expired(target, gone);
     for (const task_id& task : gone) {
         output_.log("run_lapsed", task.step.job,
                     "target=" + target.entry.id.value);
--- a/tests/dispatch_world.hpp
+++ b/tests/dispatch_world.hpp
@@ -50,6 +50,13 @@
     bool without_advice = false;
 };
 
+/** How a target crashes and comes back. */
+struct crash_options {
+    millis downtime{3000};
+    /** It comes back under its id; otherwise under a new one. */
+    bool keeps_id = false;
+};
+
 /** Outcome of a set of jobs. */
 struct job_outcome {
     int jobs = 0;
@@ -99,6 +106,18 @@
     void list_target(int target);
     /** The list of targets no longer shows a target. */
     void delist_target(int target);
+    /**
+     * The process of a target ends without notice; another one starts later at
+     * its address. Its entry is removed from the list in between.
+     */
+    void crash_target(int target, const crash_options& options);
+    /** Each run of the task crashes its target some time after its start. */
+    void set_deadly(const task_id& task, millis fuse,
+                    const crash_options& options) {
+        deadly_tasks_[task] = {fuse, options};
+    }
+    /** Changes the capacity in a target's entry; its runs stay. */
+    void set_capacity(int target, const resources& capacity);
     void set_failing(int target, bool failing);
     void set_slow(int target, double factor);
     /** Multiplies the duration of a task on any target. */
@@ -144,6 +163,18 @@
     [[nodiscard]] std::size_t listed_ends(int target) const {
         return targets_[static_cast<size_t>(target)].ended.size();
     }
+    /** Start orders for a task that targets carried out. */
+    [[nodiscard]] int starts_of(const task_id& task) const {
+        const auto found = starts_by_task_.find(task);
+        return found == starts_by_task_.end() ? 0 : found->second;
+    }
+    [[nodiscard]] job_state state_of(const job_id& job) const {
+        return owner_->state_of(job, accepted_.at(job).organisation);
+    }
+    /** Jobs without deadly tasks that were ended as failed. */
+    [[nodiscard]] int sound_jobs_failed() const;
+    /** Target that a task runs on; -1: none. */
+    [[nodiscard]] int target_of(const task_id& task) const;
     [[nodiscard]] int ticks() const { return ticks_; }
     [[nodiscard]] std::size_t runs_of(const job_id& job) const;
     [[nodiscard]] std::size_t runs_on(int target) const {
@@ -180,7 +211,6 @@
     };
     struct fake_target {
         target_entry entry;
-        target_entry listed; ///< As the list of targets shows it.
         std::map<task_id, fake_run> runs;
         std::vector<listed_end> ended;
         /** When each end occurred, by sequence number. */
@@ -192,6 +222,8 @@
         /** Highest run number that may no longer start. */
         std::map<task_id, std::int32_t> stopped_runs;
         bool silent = false;
+        bool down = false; ///< Its process has ended.
+        int lives = 1;     ///< Processes so far.
         bool failing = false;
         double slowdown = 1;
         std::function<void()> pending_poll;
@@ -224,8 +256,16 @@
                        bool answer_arrives);
     void schedule_tick();
     void end_run(fake_target& target, task_id task, run_end how);
-    void send_poll_answer(int target, const poll_order& order,
+    void send_poll_answer(const target_id& target, const poll_order& order,
                           mono_time sent_at);
+    /** The owner learns that a poll has no answer. */
+    void fail_poll(const target_id& target, const poll_order& order,
+                   mono_time sent_at, millis delay);
+    /** Tells whether a process with this id answers. */
+    [[nodiscard]] bool answers(const target_id& id) const;
+    void list_target(const target_entry& entry);
+    /** Ends the process of a target. */
+    void reset(fake_target& target) const;
     void expire_leases(fake_target& target);
     void extend_lease(fake_target& target, std::int64_t lease_end_ms) const;
     /** The owner will not hear of these ends again. */
@@ -262,6 +302,14 @@
     bool delay_polls_ = false;
     bool ignore_stops_ = false;
     std::map<task_id, double> task_slowdowns_;
+    struct deadly_task {
+        millis fuse{0};
+        crash_options options;
+    };
+    std::map<task_id, deadly_task> deadly_tasks_;
+    std::map<task_id, int> starts_by_task_;
+    /** The platform's list of targets. */
+    std::map<target_id, target_entry> listed_;
     bool tick_pending_ = false;
     std::int64_t tick_at_ = 0;
     int overlapping_runs_ = 0;
