--- a/tests/dispatch_world.cpp
+++ b/tests/dispatch_world.cpp
@@ -443,8 +443,10 @@
             return send_poll_answer(index, order, sent_at);
         auto answered = std::make_shared<bool>(false);
         const auto answer = [this, index, order, sent_at, answered,
+                             epoch = epoch_,
                              process = target.entry.incarnation] {
-            if (std::exchange(*answered, true))
+            // An earlier owner that sent the poll is gone.
+            if (std::exchange(*answered, true) || epoch != epoch_)
                 return;
             if (targets_[static_cast<size_t>(index)].entry.incarnation ==
                 process)
