--- a/tests/restart_history_test.cpp
+++ b/tests/restart_history_test.cpp
@@ -22,6 +22,8 @@
     STORE_OUTAGES = 4,
     LOST_START_ANSWERS = 8,
     ALL_FAULTS = 15,
+    LAGGING_LIST = 16,
+    LATE_STARTS = 32,
 };
 
 job_spec random_job(std::minstd_rand& random) {
@@ -42,9 +44,11 @@
     const auto draw = [&random](int from, int to) {
         return std::uniform_int_distribution<int>(from, to)(random);
     };
-    simulated_cell cell({.seed = seed,
-                         .targets = TARGETS,
-                         .list_delay = millis(draw(10, 2500))});
+    simulated_cell cell(
+        {.seed = seed,
+         .targets = TARGETS,
+         .list_delay = millis(faults & LAGGING_LIST ? draw(5000, 12'000)
+                                                    : draw(10, 2500))});
     cell.add_queue({.queue = "direct", .without_advice = true});
     cell.add_queue({.queue = "lasting", .without_advice = true});
     cell.add_queue({.queue = "advised",
@@ -90,6 +94,12 @@
             cell.at(millis(at + draw(10, 400)),
                     [&cell] { cell.drop_start_answers(false); });
         }
+    if (faults & LATE_STARTS)
+        for (int at = 3000; at < FAULTS_END_MS; at += draw(500, 3000)) {
+            cell.at(millis(at), [&cell] { cell.delay_starts(0.3); });
+            cell.at(millis(at + draw(10, 400)),
+                    [&cell] { cell.delay_starts(0); });
+        }
     cell.run_until(millis(FAULTS_END_MS + 60'000));
     std::string out;
     const auto report = [&out](const std::string& what, std::size_t count) {
@@ -119,16 +129,38 @@
     return out;
 }
 
+/** Seeds per set of faults; more in a longer search. */
+std::uint32_t seeds() {
+    const char* number = std::getenv("RESTART_HISTORY_SEEDS");
+    return number == nullptr ? 20
+                             : static_cast<std::uint32_t>(std::stoi(number));
+}
+
 } // namespace
 
 // Restarts with each combination of other faults. Guards against tasks that run
 // twice or never, and against capacity that is never freed.
 TEST(restart_history, keeps_the_rules_under_random_faults) {
-    const char* only = std::getenv("RESTART_HISTORY_SEEDS");
-    const auto seeds =
-        static_cast<std::uint32_t>(only == nullptr ? 20 : std::stoi(only));
     for (unsigned faults = 0; faults <= ALL_FAULTS; ++faults)
-        for (std::uint32_t seed = 1; seed <= seeds; ++seed)
+        for (std::uint32_t seed = 1; seed <= seeds(); ++seed)
             EXPECT_EQ(play(seed, faults), "")
                 << "seed " << seed << " faults " << faults;
 }
+
+// The same with a list that shows restarts after 5 to 12 s. Guards against
+// leases of a process not yet known that end earlier for the owner than there.
+TEST(restart_history, keeps_the_rules_while_the_list_lags) {
+    for (unsigned faults = 0; faults <= ALL_FAULTS; ++faults)
+        for (std::uint32_t seed = 1; seed <= seeds(); ++seed)
+            EXPECT_EQ(play(seed, faults | LAGGING_LIST), "")
+                << "seed " << seed << " faults " << (faults | LAGGING_LIST);
+}
+
+// The same with start orders that arrive 3 s later. Guards against orders that
+// reach a process other than the one that confirmed the stop.
+TEST(restart_history, keeps_the_rules_with_late_starts) {
+    for (unsigned faults = 0; faults <= ALL_FAULTS; ++faults)
+        for (std::uint32_t seed = 1; seed <= seeds(); ++seed)
+            EXPECT_EQ(play(seed, faults | LATE_STARTS), "")
+                << "seed " << seed << " faults " << (faults | LATE_STARTS);
+}
