--- a/tests/restart_review_test.cpp
+++ b/tests/restart_review_test.cpp
@@ -183,7 +183,6 @@
         }
     });
     cell.run_until(millis(60000));
-    // A start to each target may be under way while it restarts.
     EXPECT_EQ(cell.starts_with_old_ticket(), 0);
     EXPECT_EQ(cell.queue_result("batch").ended, 1);
 }
