--- a/src/dispatch/crash_suspects.cpp
+++ b/src/dispatch/crash_suspects.cpp
@@ -220,8 +220,9 @@
 }
 
 void crash_suspects::review(const task_id& task) {
-    if (suspicion_of(task) == suspicion::convicted)
-        convicted_.insert(task.step.job);
+    if (suspicion_of(task) == suspicion::convicted &&
+        convicted_.insert(task.step.job).second)
+        log("task_convicted", task, jobs_.find(task)->crashes.back(), "");
 }
 
 void crash_suspects::log(std::string_view event, const task_id& task,
--- a/src/dispatch/owner_suspect.cpp
+++ b/src/dispatch/owner_suspect.cpp
@@ -28,7 +28,7 @@
     for (const job_id& id : suspects_.take_convicted()) {
         if (!jobs_.give_up(id, clock.wall_ms))
             continue;
-        output_.log("job_given_up", id, "cause=task_crashes_targets");
+        output_.log("job_given_up", id, "cause=task_convicted");
         stop_job(*jobs_.find(id), clock);
     }
 }
