Keep the loss of a target open beside an older crash of it

Cause: the time after which a still listed target counts as alive was measured from the first record of the target, also for later losses.

Change: measured from the newest unconfirmed record.

Result: crash_suspects.loss_stays_open_beside_an_older_crash saw the new loss refuted at once before the change; with it after 15 s.

--- a/src/dispatch/crash_suspects.cpp
+++ b/src/dispatch/crash_suspects.cpp
@@ -160,7 +160,10 @@
                     ? crash_blame::sole
                     : crash_blame::shared;
         entry->crashes.push_back(crash);
-        crashed_[target.entry.id].tasks.insert(task);
+        loss& known_loss = crashed_[target.entry.id];
+        known_loss.tasks.insert(task);
+        if (!confirmed)
+            known_loss.since = {};
         jobs_.mark_changed(task.step.job);
         log(confirmed ? "crash_blamed" : "crash_suspected", task, crash,
             "unproven=" + std::to_string(unproven.size()));
--- a/src/dispatch/crash_suspects.hpp
+++ b/src/dispatch/crash_suspects.hpp
@@ -91,7 +91,8 @@
     /** Tasks with a record of the loss of a target. */
     struct loss {
         std::set<task_id> tasks;
-        mono_time since{}; ///< First placement round with the record.
+        /** First placement round with the newest unconfirmed record. */
+        mono_time since{};
     };
 
     /**
--- a/tests/crash_suspects_test.cpp
+++ b/tests/crash_suspects_test.cpp
@@ -248,3 +248,34 @@
     apply_progress(restored, encode_progress(old));
     EXPECT_EQ(restored.repeats.at(0).steps[0].tasks[0].crashes, task.crashes);
 }
+
+// Guards against refuting the loss of a target because the same target was on
+// record for an earlier crash.
+TEST(crash_suspects, loss_stays_open_beside_an_older_crash) {
+    job_table jobs;
+    target_table targets;
+    crash_suspects suspects(
+        jobs, targets,
+        [](std::string_view, const job_id&, const std::string&) {});
+    jobs.accept({.id = {"j"}, .spec = one_step({.count = 2})});
+    jobs.start_due_repeats(*jobs.find(job_id{"j"}), 0, mono_time());
+    target_state& target =
+        targets.add_or_update({.id = {"t"}, .incarnation = 1});
+    const task_id first{{{"j"}, 0, 0}, 0};
+    const task_id second{{{"j"}, 0, 0}, 1};
+    for (const task_id& task : {first, second})
+        jobs.place(task, 1, target.entry);
+    targets.add_run(target, first, {.run = 1, .phase = run_phase::running});
+    suspects.target_delisted(target.entry.id);
+    targets.remove_run(target, first);
+    suspects.begin_round(mono_time(millis(1000)));
+    targets.add_run(target, second, {.run = 1, .phase = run_phase::running});
+    suspects.runs_expired(target, {second});
+    targets.remove_run(target, second);
+    suspects.begin_round(mono_time(millis(20'000)));
+    EXPECT_EQ(jobs.find(first)->crashes.size(), 1U);
+    EXPECT_EQ(jobs.find(second)->crashes.size(), 1U);
+    suspects.begin_round(mono_time(millis(36'000)));
+    EXPECT_EQ(jobs.find(first)->crashes.size(), 1U);
+    EXPECT_EQ(jobs.find(second)->crashes.size(), 0U);
+}
