--- a/src/dispatch/crash_suspects.cpp
+++ b/src/dispatch/crash_suspects.cpp
@@ -153,7 +153,10 @@
                     ? crash_blame::sole
                     : crash_blame::shared;
         entry->crashes.push_back(crash);
-        crashed_[target.entry.id].tasks.insert(task);
+        loss& known_loss = crashed_[target.entry.id];
+        known_loss.tasks.insert(task);
+        if (!confirmed)
+            known_loss.since = {};
         jobs_.mark_changed(task.step.job);
         log(confirmed ? "crash_blamed" : "crash_suspected", task, crash,
             "unproven=" + std::to_string(unproven.size()));
@@ -213,8 +216,9 @@
 }
 
 void crash_suspects::review(const task_id& task) {
-    if (suspicion_of(task) == suspicion::convicted)
-        convicted_.insert(task.step.job);
+    if (suspicion_of(task) == suspicion::convicted &&
+        convicted_.insert(task.step.job).second)
+        log("task_convicted", task, jobs_.find(task)->crashes.back(), "");
 }
 
 void crash_suspects::log(std::string_view event, const task_id& task,
