Keep restarts and crash suspects together; findings of the review

Long-lived tasks that survived their start are not blamed, nor is any task when a fifth of the targets is lost together: sound jobs were given up under repeated restarts of all targets (mass_crashes_fail_no_job, restart_history).

--- a/src/dispatch/crash_suspects.cpp
+++ b/src/dispatch/crash_suspects.cpp
@@ -39,6 +39,11 @@
 constexpr std::size_t MIN_LOST_TARGETS = 5;
 constexpr std::size_t TARGETS_PER_LOST = 8;
 constexpr millis LOST_TOGETHER{1200};
+/**
+ * If one target in this many was lost together, no task is to blame: a task
+ * crashes one target at a time.
+ */
+constexpr std::size_t TARGETS_PER_MASS_LOST = 5;
 
 bool is_convicted(int crashes, int sole_crashes) {
     return crashes >= MAX_CRASHES ||
@@ -124,7 +129,16 @@
     for (const auto& [task, run] : target.runs)
         if (run.phase != run_phase::recording && !proven(task, run))
             unproven.insert(party_of(task));
-    const bool with_many = lost_with_many(target);
+    const std::size_t lost = lost_together(target);
+    const std::size_t all = targets_.all().size();
+    if (lost >= MIN_LOST_TARGETS && lost * TARGETS_PER_MASS_LOST >= all)
+        mass_lost_at_ = target.clock_received_at;
+    if (mass_lost_at_ != mono_time{} &&
+        std::chrono::abs(mass_lost_at_ - target.clock_received_at) <=
+            LOST_TOGETHER)
+        return;
+    const bool with_many =
+        lost >= MIN_LOST_TARGETS && lost * TARGETS_PER_LOST >= all;
     for (const task_id& task : tasks) {
         const run_entry& run = target.runs.at(task);
         const job_entry* job = jobs_.find(task.step.job);
@@ -132,6 +146,9 @@
         if (run.phase == run_phase::recording || entry == nullptr ||
             entry->phase == task_phase::done || job->ended())
             continue;
+        // It outlives many targets.
+        if (run.long_lived && run.survived >= PROVEN_AFTER)
+            continue;
         if (with_many && run.survived >= PROVEN_AFTER &&
             entry->crashes.size() < MIN_CRASHES)
             continue;
@@ -164,18 +181,17 @@
     }
 }
 
-bool crash_suspects::lost_with_many(const target_state& target) const {
+std::size_t crash_suspects::lost_together(const target_state& target) const {
+    if (target.clock_received_at == mono_time{})
+        return 0;
     const auto& all = targets_.all();
-    const auto lost = static_cast<std::size_t>(
+    return static_cast<std::size_t>(
         std::count_if(all.begin(), all.end(), [&](const auto& item) {
             const target_state& other = item.second;
-            const millis apart =
-                other.clock_received_at - target.clock_received_at;
-            return !other.responsive && apart <= LOST_TOGETHER &&
-                   apart >= -LOST_TOGETHER;
+            return !other.responsive &&
+                   std::chrono::abs(other.clock_received_at -
+                                    target.clock_received_at) <= LOST_TOGETHER;
         }));
-    return target.clock_received_at != mono_time{} &&
-           lost >= MIN_LOST_TARGETS && lost * TARGETS_PER_LOST >= all.size();
 }
 
 void crash_suspects::confirm(const target_id& target) {
--- a/src/dispatch/crash_suspects.hpp
+++ b/src/dispatch/crash_suspects.hpp
@@ -106,8 +106,8 @@
      */
     void add_records(const target_state& target,
                      const std::vector<task_id>& tasks, bool confirmed);
-    /** Tells whether many targets became silent together with this one. */
-    [[nodiscard]] bool lost_with_many(const target_state& target) const;
+    /** Number of targets that became silent together with this one. */
+    [[nodiscard]] std::size_t lost_together(const target_state& target) const;
     void confirm(const target_id& target);
     /** Removes the records of a process, which still runs. */
     void refute(const target_id& target, std::int64_t incarnation,
@@ -136,6 +136,8 @@
      */
     std::map<task_id, mono_time> waiting_since_;
     mono_time round_time_{};
+    /** Last answer of a target that was lost with many others. */
+    mono_time mass_lost_at_{};
 };
 
 } // namespace rattan::dispatch
--- a/src/dispatch/owner_base.hpp
+++ b/src/dispatch/owner_base.hpp
@@ -268,6 +268,9 @@
      * but the new process may have carried out their starts.
      */
     void handle_restart(target_state& target, const owner_clock& clock);
+    /** Stops a run that isn't there but whose start may still arrive. */
+    void stop_possible_run(target_state& target, const unanswered_start& start,
+                           const owner_clock& clock);
     /** Stops the starts without an answer in the new process of a target. */
     void stop_unanswered_starts(target_state& target, const owner_clock& clock);
     /** Tells whether a start was sent and may still be carried out. */
--- a/src/dispatch/owner_poll.cpp
+++ b/src/dispatch/owner_poll.cpp
@@ -23,11 +23,10 @@
 constexpr millis MAX_ORDER_DELAY{15'000};
 /** Between polls while ends are not stored yet; they only renew the lease. */
 constexpr millis LEASE_RENEWAL_PERIOD{800};
-/**
- * Between polls while ends can't be acknowledged because of an unanswered
- * start: the target lists them again at once instead of waiting for others.
- */
-constexpr millis REPEATED_ENDS_POLL_PERIOD{100};
+/** A target needs longer than this to restart, start a run and end it. */
+constexpr millis MIN_RESTART_TIME{100};
+/** Ends that a target lists in one answer. */
+constexpr std::size_t MAX_LISTED_ENDS = 500;
 /**
  * A run that is still reported this long after it should have stopped is
  * stopped again.
@@ -78,10 +77,12 @@
         wait = serving && target.best_effort_milli_cores > 0 ? SERVING_POLL_WAIT
                                                              : LONG_POLL_WAIT;
     // A process that has taken the place of the known one would forget its own
-    // ends up to this number. It has none unless it carried out a start.
+    // ends up to this number. It has none unless it carried out a start, nor
+    // right after an answer of the known one.
     const bool ends_of_known_process =
         target.responsive && target.restart_suspected == mono_time{} &&
-        !start_outstanding(target);
+        (!start_outstanding(target) ||
+         clock.now - target.clock_received_at <= MIN_RESTART_TIME);
     poll_order order{.fencing_token = settings_.epoch,
                      .last_seen =
                          ends_of_known_process ? target.last_stored_end : 0,
@@ -117,7 +118,7 @@
         return;
     target_state& target = *found;
     const bool before_restart = sent_at <= target.incarnation_since;
-    if (!answer.concurrent && sent_at == target.poll_sent_at)
+    if (!answer.concurrent && sent_at >= target.poll_sent_at)
         target.poll_pending = false;
     if (answer.order.refusal == order_refusal::stale_token) {
         superseded_ = true;
@@ -173,9 +174,7 @@
     if (target.last_applied_end > target.last_stored_end)
         target.next_poll = clock.now + LEASE_RENEWAL_PERIOD;
     else if (!answer.ended.empty())
-        target.next_poll =
-            clock.now +
-            (start_outstanding(target) ? REPEATED_ENDS_POLL_PERIOD : millis(0));
+        target.next_poll = clock.now;
     else if (target.runs.empty())
         target.next_poll = clock.now + IDLE_POLL_PERIOD;
     else
@@ -192,6 +191,18 @@
     if (known)
         targets_.remove_run(target, end.task);
     apply_run_end(target, run, end, clock);
+    // Where an earlier run took the place of the latest one, the start of that
+    // one may still arrive.
+    const task_entry* task = jobs_.find(end.task);
+    if (known && task != nullptr && task->phase == task_phase::placed &&
+        task->target == target.entry.id && task->run > end.run)
+        stop_possible_run(target,
+                          {.task = end.task,
+                           .run = task->run,
+                           .demand = run.demand,
+                           .best_effort = run.best_effort,
+                           .organisation = run.organisation},
+                          clock);
     update_backoff(target, end, clock);
     const step_spec* spec = jobs_.spec(end.task.step);
     // A task may be too short for progress samples; its end in time shows as
@@ -232,9 +243,20 @@
             if (run.stop_acked != mono_time{} && sent_at > run.stop_acked)
                 gone.push_back(task);
             break;
+        case run_phase::running:
+            // Its end was acknowledged unread, by a poll that was meant for an
+            // earlier process.
+            if (sent_at <= run.started ||
+                target.incarnation_since == mono_time{} ||
+                answer.ended.size() >= MAX_LISTED_ENDS)
+                break;
+            output_.log("run_vanished", task.step.job,
+                        "target=" + target.entry.id.value +
+                            " run=" + std::to_string(run.run));
+            gone.push_back(task);
+            break;
         case run_phase::recording:
         case run_phase::starting:
-        case run_phase::running:
             break;
         }
     }
@@ -434,6 +456,19 @@
     schedule_due_ = true;
 }
 
+void owner::stop_possible_run(target_state& target,
+                              const unanswered_start& start,
+                              const owner_clock& clock) {
+    run_entry& run = targets_.add_run(target, start.task,
+                                      {.run = start.run,
+                                       .demand = start.demand,
+                                       .best_effort = start.best_effort,
+                                       .organisation = start.organisation,
+                                       .phase_since = clock.now,
+                                       .start_uncertain = true});
+    request_stop(target, start.task, run);
+}
+
 void owner::stop_unanswered_starts(target_state& target,
                                    const owner_clock& clock) {
     std::erase_if(target.unanswered_starts, [&](const unanswered_start& start) {
@@ -444,14 +479,7 @@
             target.runs.contains(start.task))
             continue;
         start.stopped_in = target.incarnation;
-        run_entry& run = targets_.add_run(target, start.task,
-                                          {.run = start.run,
-                                           .demand = start.demand,
-                                           .best_effort = start.best_effort,
-                                           .organisation = start.organisation,
-                                           .phase_since = clock.now,
-                                           .start_uncertain = true});
-        request_stop(target, start.task, run);
+        stop_possible_run(target, start, clock);
     }
 }
 
@@ -482,7 +510,8 @@
         return false;
     // Without the clock of the process that may hold the run, or for a run of
     // an earlier owner, local time decides.
-    if (run.phase == run_phase::inherited || target.clock_ms == 0)
+    if (run.phase == run_phase::inherited || target.clock_ms == 0 ||
+        target.restart_suspected != mono_time{})
         return now >= inherited_leases_end_ && now >= target.all_leases_end;
     return target_table::leases_expired(
         target, now, LEASE_EXPIRY_MARGIN + settings_.stop_duration);
