Accept jobs of up to 10,000 tasks again

Cause: the bound of 2,500 tasks in progress, which keeps the progress of repeats within one record, was also the bound of a single job, so that jobs between the two were rejected that were accepted before.

Change: two constants. A job has at most 10,000 tasks in all its steps; repeats in progress keep the bound of 2,500 tasks.

The progress of a job of over 2,500 tasks can still exceed a record; no test here covers that.

--- a/src/dispatch/dispatch_type.hpp
+++ b/src/dispatch/dispatch_type.hpp
@@ -40,8 +40,10 @@
     std::int32_t max_unavailable = 0; ///< 0: no limit.
 };
 
+/** Tasks of all steps of one repeat of a job. */
+constexpr std::int32_t MAX_TASKS_PER_JOB = 10'000;
 /** The progress of so many tasks fits into one record of the store. */
-constexpr std::int32_t MAX_TASKS_PER_JOB = 2'500;
+constexpr std::int32_t MAX_TASKS_IN_PROGRESS = 2'500;
 
 /** A job as submitted. */
 struct job_spec {
--- a/src/dispatch/job_table.cpp
+++ b/src/dispatch/job_table.cpp
@@ -28,7 +28,7 @@
     for (const step_spec& step : spec.steps)
         tasks += step.count;
     return static_cast<std::size_t>(std::max<std::int64_t>(
-        1, MAX_TASKS_PER_JOB / std::max<std::int64_t>(1, tasks)));
+        1, MAX_TASKS_IN_PROGRESS / std::max<std::int64_t>(1, tasks)));
 }
 
 } // namespace
--- a/src/dispatch/job_table.hpp
+++ b/src/dispatch/job_table.hpp
@@ -94,7 +94,7 @@
     bool accept(job_record record);
 
     /**
-     * Starts the repeats of a job that are due. Beyond `MAX_TASKS_PER_JOB`
+     * Starts the repeats of a job that are due. Beyond `MAX_TASKS_IN_PROGRESS`
      * tasks in progress a repeat waits for the end of an earlier one.
      * @return True if there were any.
      */
