TWICE: show the end of a job only once its record is stored

Cause: the owner took a job out of its live jobs when it passed the record to the store, and showed the end of any job that was not live. With the store down it showed `completed`; the next owner did not know the end and started the task again.

Change: a job stays live until the store has answered for the record of its end. The same class elsewhere: - a cancelled job was purged although its end was not stored, so an owner that found only part of its records deleted could have started it again; - the progress of a job whose own record could not be decoded was deleted as an orphan; it is kept. Read and sound: ends are acknowledged to targets after the store's answer, job states from copies of the store are of acknowledged or later fenced appends.

--- a/src/dispatch/owner_base.cpp
+++ b/src/dispatch/owner_base.cpp
@@ -131,7 +131,6 @@
         early_cancels_[id] = clock.wall_ms;
     if (!jobs_.cancel(id, clock.wall_ms))
         return;
-    live_jobs_.erase(id);
     output_.log("job_cancelled", id, "");
     stop_job(*jobs_.find(id), clock);
 }
@@ -238,7 +237,7 @@
         output_.remove_jobs(expired);
 }
 
-void owner::store_changes(const owner_clock& clock) {
+void owner::store_changes() {
     if (store_pending_ || superseded_)
         return;
     std::vector<store_record> records;
@@ -246,15 +245,8 @@
         if (const job_entry* job = jobs_.find(id)) {
             records.push_back(
                 {.key = progress_key(id), .value = encode_progress(*job)});
-            if (job->ended() && live_jobs_.erase(id) > 0) {
-                advice_.remove(id);
-                output_.log(
-                    "job_ended", id,
-                    "state=" + std::to_string(static_cast<int>(job->state)) +
-                        " age_ms=" +
-                        std::to_string(clock.wall_ms -
-                                       job->record.accepted_ms));
-            }
+            if (job->ended())
+                job_ends_in_store_call_.push_back(id);
         }
     ends_in_store_call_.clear();
     for (auto& [id, target] : targets_.all())
@@ -282,9 +274,24 @@
         target->next_poll = std::min(target->next_poll, clock.now);
     }
     ends_in_store_call_.clear();
+    confirm_job_ends(clock);
     send_starts(clock);
 }
 
+void owner::confirm_job_ends(const owner_clock& clock) {
+    for (const job_id& id : std::exchange(job_ends_in_store_call_, {})) {
+        const job_entry* job = jobs_.find(id);
+        if (job == nullptr || live_jobs_.erase(id) == 0)
+            continue;
+        advice_.remove(id);
+        output_.log(
+            "job_ended", id,
+            "state=" + std::to_string(static_cast<int>(job->state)) +
+                " age_ms=" +
+                std::to_string(clock.wall_ms - job->record.accepted_ms));
+    }
+}
+
 void owner::tick(const owner_clock& clock) {
     if (superseded_)
         return;
@@ -300,7 +307,7 @@
         schedule(clock);
     }
     send_stops(clock);
-    store_changes(clock);
+    store_changes();
     send_due_polls(clock);
     purge_expired(clock);
 }
@@ -327,8 +334,8 @@
     if (job == nullptr || (!job->record.organisation.empty() &&
                            job->record.organisation != asking))
         return job_state::unknown;
-    // Success and failure are reported only after they were passed to the
-    // store.
+    // A later owner knows only what is stored. A cancellation is known from the
+    // record of its caller.
     if (job->ended() && live_jobs_.contains(id) &&
         job->state != job_state::cancelled)
         return job_state::running;
--- a/src/dispatch/owner_base.hpp
+++ b/src/dispatch/owner_base.hpp
@@ -175,7 +175,9 @@
     [[nodiscard]] target_address address_of(const target_state& t) const;
     void start_due_repeats(const owner_clock& clock);
     void purge_expired(const owner_clock& clock);
-    void store_changes(const owner_clock& clock);
+    void store_changes();
+    /** The ends in the last `store` call are stored: they may be shown. */
+    void confirm_job_ends(const owner_clock& clock);
     [[nodiscard]] int max_attempts(const job_entry& job) const;
     [[nodiscard]] bool consume_rate_credit(const job_record& record);
 
@@ -267,7 +269,10 @@
     job_table jobs_;
     target_table targets_;
     advice_table advice_;
-    std::set<job_id> live_jobs_; ///< Jobs that have not ended.
+    /** Jobs that have not ended, or whose end is not stored yet. */
+    std::set<job_id> live_jobs_;
+    /** Jobs whose end the pending `store` call records. */
+    std::vector<job_id> job_ends_in_store_call_;
     /** Token bucket for the submission rate of an organisation. */
     struct rate_bucket {
         double credit = 0;
--- a/src/front/owner_service.cpp
+++ b/src/front/owner_service.cpp
@@ -217,11 +217,14 @@
         !target_follower_->loaded())
         return;
     const owner_clock at = clock();
-    for (const auto& [id, record] : std::exchange(loaded_jobs_, {}))
+    const auto stored_jobs = std::exchange(loaded_jobs_, {});
+    for (const auto& [id, record] : stored_jobs)
         restore_job(id, record, at);
+    // The progress of a job whose record can't be decoded here is kept: another
+    // version may decode it.
     std::vector<std::string> orphans;
     for (const auto& [id, progress] : std::exchange(loaded_progress_, {}))
-        if (owner_.jobs().find(id) == nullptr)
+        if (!stored_jobs.contains(id))
             orphans.push_back(progress_key(id));
     progress_writer_.delete_keys(orphans);
     owner_.take_over(at);
--- a/tests/dispatch_world.cpp
+++ b/tests/dispatch_world.cpp
@@ -544,6 +544,14 @@
         [&](const submitted& job) { return job.organisation == organisation; });
 }
 
+std::optional<int> simulated_cell::target_of(const job_id& job) const {
+    for (std::size_t i = 0; i < targets_.size(); ++i)
+        for (const auto& [task, run] : targets_[i].runs)
+            if (task.step.job == job)
+                return static_cast<int>(i);
+    return std::nullopt;
+}
+
 std::size_t simulated_cell::runs_of(const job_id& job) const {
     std::size_t count = 0;
     for (const fake_target& target : targets_)
--- a/tests/dispatch_world.hpp
+++ b/tests/dispatch_world.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <random>
 
@@ -117,6 +118,10 @@
     [[nodiscard]] std::size_t runs_on(int target) const {
         return targets_[static_cast<size_t>(target)].runs.size();
     }
+    /** The target that runs a task of a job. */
+    [[nodiscard]] std::optional<int> target_of(const job_id& job) const;
+    /** Number of jobs whose records the owner has asked to delete. */
+    [[nodiscard]] int removed_jobs() const { return removed_jobs_; }
     [[nodiscard]] static target_id target_name(int target);
 
     // owner_output
@@ -130,7 +135,9 @@
                     const std::vector<std::string>& targets,
                     millis timeout) override;
     void store(const std::vector<store_record>& records) override;
-    void remove_jobs(const std::vector<job_id>&) override {}
+    void remove_jobs(const std::vector<job_id>& jobs) override {
+        removed_jobs_ += static_cast<int>(jobs.size());
+    }
     void log(std::string_view, const job_id&, const std::string&) override {}
 
 private:
@@ -218,6 +225,7 @@
     int overlapping_runs_ = 0;
     int overcommitted_starts_ = 0;
     int starts_ = 0;
+    int removed_jobs_ = 0;
     int ticks_ = 0;
     int next_job_ = 0;
 };
