LOST: fail no job while its number of attempts is not known

Cause: an owner that had not read a configuration, or one that did not name the job's queue, took 1 for the number of attempts. The first failed run then failed the job for good.

Change: a failed run is counted at once; whether it was the last one is decided when a configuration names the queue, by this owner or a later one. The same class elsewhere: an organisation that the configuration does not name counted as one without a limit; its tasks wait now. Left as they are, since they only order work: the submission rate of an unknown organisation, and an objective of 0. Without a queue nothing is started, so an evacuation that is not read yet can't be broken.

Guard: dispatch_config.* failed first: jobs were shown as `failed` after one failed run of four, with a new owner and with a removed queue, and a task of an unknown organisation was started.

--- a/src/dispatch/job_table.cpp
+++ b/src/dispatch/job_table.cpp
@@ -186,8 +186,8 @@
     job.ended_ms = wall_ms;
 }
 
-bool job_table::fail(const task_id& id, std::int32_t run, int max_attempts,
-                     std::int64_t wall_ms) {
+bool job_table::fail(const task_id& id, std::int32_t run,
+                     std::optional<int> max_attempts, std::int64_t wall_ms) {
     job_entry* job = find(id.step.job);
     task_entry* task = find(id);
     if (task == nullptr || task->phase == task_phase::done)
@@ -213,13 +213,44 @@
         attempts = step.failed_runs;
     }
     mark_changed(id.step.job);
-    if (attempts < max_attempts || job->ended())
+    if (!max_attempts || attempts < *max_attempts || job->ended())
         return false;
     job->state = job_state::failed;
     job->ended_ms = wall_ms;
     return true;
 }
 
+bool job_table::fail_if_exhausted(const job_id& id, int max_attempts,
+                                  std::int64_t wall_ms) {
+    job_entry* job = find(id);
+    if (job == nullptr || job->ended())
+        return false;
+    for (const auto& [number, repeat] : job->repeats)
+        for (size_t s = 0; s < repeat.steps.size(); ++s) {
+            const step_entry& step = repeat.steps[s];
+            const step_spec& definition = job->record.spec.steps[s];
+            if (step.waiting == 0 || definition.long_lived)
+                continue;
+            const bool exhausted = std::any_of(
+                step.tasks.begin(), step.tasks.end(),
+                [&](const task_entry& task) {
+                    const auto attempts =
+                        definition.gang
+                            ? step.failed_runs
+                            : static_cast<std::int32_t>(task.failed.size());
+                    return task.phase == task_phase::waiting &&
+                           attempts >= max_attempts;
+                });
+            if (!exhausted)
+                continue;
+            job->state = job_state::failed;
+            job->ended_ms = wall_ms;
+            mark_changed(id);
+            return true;
+        }
+    return false;
+}
+
 bool job_table::cancel(const job_id& id, std::int64_t wall_ms) {
     job_entry* job = find(id);
     if (job == nullptr || job->ended())
--- a/src/dispatch/job_table.hpp
+++ b/src/dispatch/job_table.hpp
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -129,11 +130,19 @@
     /**
      * Records a failed run. A run counts only once, since targets report an end
      * again to a new owner.
-     * @param max_attempts Number of failed runs after which the job fails.
+     * @param max_attempts Number of failed runs after which the job fails;
+     * nothing: not known yet, the run is only counted.
      * @return True if the job has failed because of this run.
      */
-    bool fail(const task_id& task, std::int32_t run, int max_attempts,
-              std::int64_t wall_ms);
+    bool fail(const task_id& task, std::int32_t run,
+              std::optional<int> max_attempts, std::int64_t wall_ms);
+
+    /**
+     * Fails a job if a task that waits for another run has no attempt left.
+     * @return True if the job has failed.
+     */
+    bool fail_if_exhausted(const job_id& id, int max_attempts,
+                           std::int64_t wall_ms);
 
     /** Cancels a job. @return False if it is unknown or has already ended. */
     bool cancel(const job_id& id, std::int64_t wall_ms);
--- a/src/dispatch/owner_base.cpp
+++ b/src/dispatch/owner_base.cpp
@@ -35,8 +35,6 @@
 /** Submissions of this many seconds may arrive as a burst. */
 constexpr double RATE_BURST_S = 1;
 constexpr double MS_PER_SECOND = 1000;
-/** For jobs whose queue has been removed. */
-constexpr int DEFAULT_MAX_ATTEMPTS = 1;
 
 } // namespace
 
@@ -155,11 +153,6 @@
     return {.id = target.entry.id, .address = target.entry.address};
 }
 
-int owner::max_attempts(const job_entry& job) const {
-    const queue_config* queue = find_queue(config_, job.record.queue);
-    return queue == nullptr ? DEFAULT_MAX_ATTEMPTS : queue->max_attempts;
-}
-
 void owner::take_over(const owner_clock& clock) {
     // An earlier owner may have granted leases until its confirmation ran out,
     // and a target's clock may be slow.
@@ -295,6 +288,7 @@
 void owner::tick(const owner_clock& clock) {
     if (superseded_)
         return;
+    apply_max_attempts(clock);
     start_due_repeats(clock);
     for (auto& [id, target] : targets_.all())
         if (!target.responsive)
--- a/src/dispatch/owner_base.hpp
+++ b/src/dispatch/owner_base.hpp
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -87,7 +88,7 @@
 
     /** @name External events. */
     ///@{
-    void set_config(const cell_config& config) { config_ = config; }
+    void set_config(const cell_config& config);
     void set_evacuated(std::set<data_centre_id> centres);
     void set_hosts(const std::vector<host_id>& hosts);
     /** A target's entry in the platform's list is new or has changed. */
@@ -178,9 +179,14 @@
     void store_changes();
     /** The ends in the last `store` call are stored: they may be shown. */
     void confirm_job_ends(const owner_clock& clock);
-    [[nodiscard]] int max_attempts(const job_entry& job) const;
     [[nodiscard]] bool consume_rate_credit(const job_record& record);
 
+    // owner_attempts.cpp
+    /** Nothing while the configuration does not name the job's queue. */
+    [[nodiscard]] std::optional<int> max_attempts(const job_entry& job) const;
+    /** Fails jobs that have no attempt left by a new configuration. */
+    void apply_max_attempts(const owner_clock& clock);
+
     // owner_place.cpp, owner_start.cpp
     void schedule(const owner_clock& clock);
     void collect_schedulable(mono_time now);
@@ -288,6 +294,8 @@
     bool store_pending_ = false;
     bool superseded_ = false;
     bool schedule_due_ = false;
+    /** Attempts counted so far have not been compared with `config_`. */
+    bool attempts_due_ = true;
     mono_time next_schedule_{};
     /**
      * Targets that may receive work in this placement round, and the maximum of
--- a/src/dispatch/owner_place.cpp
+++ b/src/dispatch/owner_place.cpp
@@ -186,10 +186,15 @@
 
 resources owner::remaining_quota(const runnable_step& step) const {
     constexpr std::int64_t UNLIMITED = std::numeric_limits<std::int64_t>::max();
+    constexpr std::int64_t NOTHING = -1; // Not even a task without demand fits.
     const organisation_id& name = jobs_.find(step.ref.job)->record.organisation;
     const organisation_config* organisation = find_organisation(config_, name);
-    if (organisation == nullptr)
+    if (name.empty())
         return {UNLIMITED, UNLIMITED, UNLIMITED};
+    // The limit of an organisation that the configuration does not name is not
+    // known; its tasks wait.
+    if (organisation == nullptr)
+        return {NOTHING, NOTHING, NOTHING};
     const resources in_use = targets_.usage(name);
     const auto remaining = [](std::int64_t limit, std::int64_t amount) {
         return limit <= 0 ? UNLIMITED : limit - amount;
--- a/tests/dispatch_world.cpp
+++ b/tests/dispatch_world.cpp
@@ -472,7 +472,8 @@
     owner_settings settings;
     settings.epoch = epoch_;
     owner_ = std::make_unique<owner>(settings, *this);
-    owner_->set_config(config_);
+    if (!config_withheld_)
+        owner_->set_config(config_);
     std::vector<host_id> hosts;
     for (int i = 0; i < options_.hosts; ++i)
         hosts.push_back({"h" + std::to_string(i)});
@@ -497,6 +498,12 @@
     schedule_tick();
 }
 
+void simulated_cell::withhold_config(bool withheld) {
+    config_withheld_ = withheld;
+    owner_->set_config(withheld ? cell_config{} : config_);
+    schedule_tick();
+}
+
 void simulated_cell::set_silent(int target, bool silent) {
     targets_[static_cast<size_t>(target)].silent = silent;
 }
--- a/tests/dispatch_world.hpp
+++ b/tests/dispatch_world.hpp
@@ -97,6 +97,8 @@
     /** A new owner takes over with the records in the store. */
     void restart_owner();
     void set_store_down(bool down);
+    /** The owner, and any later one, has no configuration. */
+    void withhold_config(bool withheld);
     /** Deletes all records of a job; its runs continue. */
     void delete_job(const job_id& job) {
         accepted_.erase(job);
@@ -216,6 +218,7 @@
     std::map<host_id, std::int64_t> advice_free_at_;
     std::vector<std::vector<store_record>> pending_appends_;
     bool store_down_ = false;
+    bool config_withheld_ = false;
     bool drop_start_answers_ = false;
     double delayed_start_share_ = 0;
     bool ignore_stops_ = false;
