LOST: a record that the store refuses stops no other job

Cause: the progress of a job of 9,000 tasks took more than the store's limit for a record (637,918 bytes in the test; the limit is 262,144). The store refused the batch, the owner sent it again for ever, and no job of the cell started any more. The limit for one append was read and never used.

Change: - Records of 64 KiB or more are compressed. A job stays one record, so that a takeover reads it whole; records of earlier versions are read as before. - The owner's records are split into appends within the limit; so are those of clients' jobs and cancellations. - A record over the limit is not sent. A batch that the store answers with 400 or 413 is halved until the refused record is alone. Such a record is logged and set aside: its job fails, with a record that is small, its runs stop, and the ends that were reported with it are acknowledged only after that record. - A job whose own record or progress can't be stored is refused when it is submitted: over 10,062 tasks at once with the store's limit, or over 261,632 bytes.

--- a/src/dispatch/job_table.cpp
+++ b/src/dispatch/job_table.cpp
@@ -251,6 +251,16 @@
     return false;
 }
 
+bool job_table::abandon(const job_id& id, std::int64_t wall_ms) {
+    job_entry* job = find(id);
+    if (job == nullptr || job->ended())
+        return false;
+    job->state = job_state::failed;
+    job->ended_ms = wall_ms;
+    mark_changed(id);
+    return true;
+}
+
 bool job_table::cancel(const job_id& id, std::int64_t wall_ms) {
     job_entry* job = find(id);
     if (job == nullptr || job->ended())
--- a/src/dispatch/job_table.hpp
+++ b/src/dispatch/job_table.hpp
@@ -144,6 +144,12 @@
     bool fail_if_exhausted(const job_id& id, int max_attempts,
                            std::int64_t wall_ms);
 
+    /**
+     * Fails a job whose progress can't be stored.
+     * @return False if it is unknown or has already ended.
+     */
+    bool abandon(const job_id& id, std::int64_t wall_ms);
+
     /** Cancels a job. @return False if it is unknown or has already ended. */
     bool cancel(const job_id& id, std::int64_t wall_ms);
 
--- a/src/dispatch/owner_base.hpp
+++ b/src/dispatch/owner_base.hpp
@@ -42,8 +42,9 @@
                             const std::vector<std::string>& targets,
                             millis timeout) = 0;
     /**
-     * Stores the records atomically and in order; `owner::records_stored` is
-     * called afterwards.
+     * Stores the records in order, each one whole; `owner::records_stored` is
+     * called afterwards, and before it `owner::records_refused` if the store
+     * does not accept some of them.
      */
     virtual void store(const std::vector<store_record>& records) = 0;
     /**
@@ -125,7 +126,13 @@
                        mono_time sent_at, const owner_clock& clock);
     void advice_answered(const host_id& host, const step_ref& step, bool slow,
                          const advice_answer& answer, const owner_clock& clock);
-    /** The records of the last `store` call have been stored. */
+    /**
+     * The store does not accept the records of some jobs in the last `store`
+     * call. These jobs fail; the others continue.
+     */
+    void records_refused(const std::vector<job_id>& jobs,
+                         const owner_clock& clock);
+    /** The other records of the last `store` call have been stored. */
     void records_stored(const owner_clock& clock);
     ///@}
 
--- a/src/front/front_service.cpp
+++ b/src/front/front_service.cpp
@@ -1,6 +1,7 @@
 #include "front/front_service.hpp"
 
 #include "base/log_func.hpp"
+#include "dispatch/job_size.hpp"
 #include "dispatch/partition_func.hpp"
 #include "dispatch/reader_func.hpp"
 #include "dispatch/route_func.hpp"
@@ -105,12 +106,13 @@
           [this](const std::set<std::string>& keys) {
               handle_operator_records_loaded(keys);
           }),
-      job_writer_(loop, store_,
-                  {.topic = JOBS_TOPIC,
-                   .partitions = job_partitions(settings),
-                   .first_partition = first_partition(settings),
-                   .producer = settings.host.value + "/" +
-                               std::to_string(incarnation_)}) {
+      job_writer_(
+          loop, store_,
+          {.topic = JOBS_TOPIC,
+           .partitions = job_partitions(settings),
+           .first_partition = first_partition(settings),
+           .producer = settings.host.value + "/" + std::to_string(incarnation_),
+           .max_append_bytes = settings.max_append_bytes}) {
     job_writer_.on_answered([this] { members_.store_answered(); });
 }
 
@@ -317,14 +319,17 @@
                       .queue = pending->queue.name,
                       .organisation = pending->organisation,
                       .accepted_ms = wall_millis()};
+    std::string encoded;
     try {
         record.spec = platform::decode_job(pending->request.body);
+        encoded = encode_job(record);
+        check_job_size(record.spec, encoded.size(), settings_.max_record_bytes);
     } catch (const decode_error& failure) {
         log_event(log_level::info, "job_malformed",
                   {{"job", pending->job.value}, {"cause", failure.what()}});
         return pending->answer(status_reply(400));
     }
-    write(pending, job_key(pending->job), encode_job(record));
+    write(pending, job_key(pending->job), encoded);
 }
 
 void front_service::cancel(const std::shared_ptr<pending_request>& pending) {
--- a/src/front/owner_service.cpp
+++ b/src/front/owner_service.cpp
@@ -3,6 +3,7 @@
 #include "base/log_func.hpp"
 #include "dispatch/partition_func.hpp"
 #include "dispatch/reader_func.hpp"
+#include "dispatch/record_packing.hpp"
 #include "net/program_runtime.hpp"
 #include "net/thrift_codec.hpp"
 #include "platform/wire_codec.hpp"
@@ -95,6 +96,8 @@
       progress_writer_(
           context.loop, context.store, epoch,
           std::min(context.settings.store_partitions, MAX_PROGRESS_PARTITIONS),
+          {.record_bytes = context.settings.max_record_bytes,
+           .append_bytes = context.settings.max_append_bytes},
           {.fenced = [this] { context_.members.handle_fenced(); },
            .answered =
                [this](mono_time sent_at) {
@@ -482,12 +485,19 @@
 void owner_service::store(const std::vector<store_record>& records) {
     std::vector<keyed_record> out;
     for (const store_record& record : records)
-        out.push_back({.key = record.key, .value = record.value});
+        out.push_back({.key = record.key, .value = pack_record(record.value)});
     ++context_.metrics.counter("rattan_owner_appends_total");
-    progress_writer_.write(out, guarded([this] {
-                               owner_.records_stored(clock());
-                               schedule_tick();
-                           }));
+    progress_writer_.write(
+        std::move(out),
+        guarded([this](const std::vector<std::string>& refused_keys) {
+            std::vector<job_id> refused;
+            for (const std::string& key : refused_keys)
+                refused.push_back({key.substr(KEY_PREFIX_BYTES)});
+            if (!refused.empty())
+                owner_.records_refused(refused, clock());
+            owner_.records_stored(clock());
+            schedule_tick();
+        }));
 }
 
 void owner_service::remove_jobs(const std::vector<job_id>& jobs) {
--- a/src/front/progress_writer.cpp
+++ b/src/front/progress_writer.cpp
@@ -1,6 +1,7 @@
 #include "front/progress_writer.hpp"
 
 #include "base/log_func.hpp"
+#include "dispatch/record_packing.hpp"
 #include "rattan/error_type.hpp"
 
 #include <algorithm>
@@ -20,6 +21,8 @@
 constexpr char STAMP_SEPARATOR = ' ';
 /** With this many pending tombstones, they are sent without a batch. */
 constexpr std::size_t TOMBSTONE_BATCH_KEYS = 200;
+/** Upper bound of the size of a tombstone in an append. */
+constexpr std::size_t MAX_TOMBSTONE_BYTES = 64;
 /** Batch number of an append that contains only tombstones. */
 constexpr std::int64_t TOMBSTONES_ONLY = -1;
 
@@ -37,15 +40,21 @@
     if (batch.ec != std::errc() || batch.ptr == end ||
         *batch.ptr != STAMP_SEPARATOR)
         throw decode_error("stored progress has no batch number");
-    return {stamp, std::string(batch.ptr + 1, end)};
+    return {stamp, dispatch::unpack_record(std::string(batch.ptr + 1, end))};
 }
 
 progress_writer::progress_writer(event_loop& loop,
                                  platform::store_client& store,
                                  std::int64_t epoch, int partition_count,
+                                 const append_limits& limits,
                                  callbacks handlers)
     : loop_(loop), store_(store), epoch_(epoch),
-      callbacks_(std::move(handlers)) {
+      callbacks_(std::move(handlers)), limits_(limits) {
+    // Deletions share the appends of records.
+    constexpr std::size_t TOMBSTONE_BYTES =
+        TOMBSTONE_BATCH_KEYS * MAX_TOMBSTONE_BYTES;
+    if (limits_.append_bytes > 2 * TOMBSTONE_BYTES)
+        limits_.append_bytes -= TOMBSTONE_BYTES;
     for (int partition = 0; partition < partition_count; ++partition)
         partitions_.push_back({.index = partition});
 }
@@ -92,16 +101,33 @@
         }));
 }
 
-void progress_writer::write(const std::vector<keyed_record>& records,
-                            std::function<void()> done) {
-    const std::string stamp = std::to_string(epoch_) + STAMP_SEPARATOR +
-                              std::to_string(++last_batch_number_) +
-                              STAMP_SEPARATOR;
-    last_batch_.clear();
-    for (const keyed_record& record : records)
-        last_batch_.push_back(
-            {.key = record.key, .value = stamp + record.value});
-    on_stored_ = std::move(done);
+void progress_writer::write(std::vector<keyed_record> records,
+                            write_callback done) {
+    split_records split = split_batch(std::move(records), limits_);
+    for (const std::string& key : split.oversized)
+        log_event(log_level::error, "record_too_large",
+                  {{"key", key},
+                   {"limit_bytes", std::to_string(limits_.record_bytes)}});
+    pending_batches_ = std::move(split.batches);
+    refused_keys_ = std::move(split.oversized);
+    on_written_ = std::move(done);
+    write_next_batch();
+}
+
+void progress_writer::write_next_batch() {
+    if (pending_batches_.empty()) {
+        // Deferred, since the caller may not expect the answer yet.
+        loop_.defer(guarded([this] {
+            const auto done = std::exchange(on_written_, nullptr);
+            done(std::exchange(refused_keys_, {}));
+        }));
+        return;
+    }
+    last_batch_ = std::move(pending_batches_.front());
+    pending_batches_.pop_front();
+    last_stamp_ = std::to_string(epoch_) + STAMP_SEPARATOR +
+                  std::to_string(++last_batch_number_) + STAMP_SEPARATOR;
+    on_stored_ = [this] { write_next_batch(); };
     partition_state& first = partitions_[preferred_partition_];
     if (first.batch_number == 0)
         return start_batch(first);
@@ -126,22 +152,33 @@
 
 void progress_writer::flush_tombstones(partition_state& state) {
     state.batch_number = TOMBSTONES_ONLY;
-    for (std::string& key : std::exchange(state.tombstones, {}))
-        state.records.push_back({.key = std::move(key)});
+    add_tombstones(state);
     ++state.sequence;
     send_append(state);
 }
 
 void progress_writer::start_batch(partition_state& state) {
     state.batch_number = last_batch_number_;
-    state.records = last_batch_;
+    state.records.clear();
+    for (const keyed_record& record : last_batch_)
+        state.records.push_back(
+            {.key = record.key, .value = last_stamp_ + record.value});
     state.has_keys = true;
-    for (std::string& key : std::exchange(state.tombstones, {}))
-        state.records.push_back({.key = std::move(key)});
+    add_tombstones(state);
     ++state.sequence;
     send_append(state);
 }
 
+void progress_writer::add_tombstones(partition_state& state) {
+    const std::size_t count =
+        std::min(state.tombstones.size(), TOMBSTONE_BATCH_KEYS);
+    for (std::size_t i = 0; i < count; ++i)
+        state.records.push_back({.key = std::move(state.tombstones[i])});
+    state.tombstones.erase(state.tombstones.begin(),
+                           state.tombstones.begin() +
+                               static_cast<std::ptrdiff_t>(count));
+}
+
 void progress_writer::send_append(partition_state& state) {
     store_.append(
         {.topic = PROGRESS_TOPIC,
@@ -167,6 +204,8 @@
         return append_succeeded(state);
     case store_result::fenced:
         return callbacks_.fenced();
+    case store_result::malformed:
+        return append_refused(state);
     case store_result::out_of_order:
         if (answer.expected_sequence == state.sequence + 1)
             return append_succeeded(state); // An earlier attempt was applied.
@@ -195,6 +234,34 @@
     std::exchange(on_stored_, nullptr)();
 }
 
+void progress_writer::append_refused(partition_state& state) {
+    log_event(log_level::error, "owner_append_refused",
+              {{"partition", std::to_string(state.index)},
+               {"records", std::to_string(state.records.size())},
+               {"key", state.records.empty() ? "" : state.records[0].key}});
+    const bool newest = state.batch_number == last_batch_number_;
+    for (keyed_record& record : state.records)
+        if (record.value.empty())
+            state.tombstones.push_back(std::move(record.key));
+    state.records.clear();
+    state.batch_number = 0;
+    --state.sequence; // The store has not used it.
+    if (!on_stored_)
+        return;
+    if (!newest)
+        return start_batch(state);
+    on_stored_ = nullptr;
+    if (last_batch_.size() == 1) {
+        refused_keys_.push_back(last_batch_[0].key);
+    } else {
+        const auto middle = last_batch_.begin() +
+                            static_cast<std::ptrdiff_t>(last_batch_.size() / 2);
+        pending_batches_.emplace_front(middle, last_batch_.end());
+        pending_batches_.emplace_front(last_batch_.begin(), middle);
+    }
+    write_next_batch();
+}
+
 void progress_writer::append_failed(partition_state& state,
                                     const append_answer& answer) {
     if (answer.result == store_result::unknown)
--- a/src/front/progress_writer.hpp
+++ b/src/front/progress_writer.hpp
@@ -2,10 +2,12 @@
 #pragma once
 
 #include "dispatch/adaptive_timeout.hpp"
+#include "front/append_batches.hpp"
 #include "front/topic_follower.hpp"
 #include "net/event_loop.hpp"
 #include "platform/store_client.hpp"
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <set>
@@ -26,8 +28,8 @@
 };
 
 /**
- * Splits a stored value into its stamp and the encoded progress.
- * @throw decode_error when the value has no stamp.
+ * Splits a stored value into its stamp and the unpacked progress.
+ * @throw decode_error when the value has no stamp or can't be unpacked.
  */
 std::pair<progress_stamp, std::string> split_progress(const std::string& value);
 
@@ -49,7 +51,7 @@
 
     progress_writer(event_loop& loop, platform::store_client& store,
                     std::int64_t epoch, int partition_count,
-                    callbacks handlers);
+                    const append_limits& limits, callbacks handlers);
 
     /**
      * Appends under the new epoch to all partitions, so that the store rejects
@@ -57,9 +59,17 @@
      */
     void fence(std::function<void()> done);
 
-    /** Stores a batch, then calls `done`. @pre No other batch is pending. */
-    void write(const std::vector<platform::keyed_record>& records,
-               std::function<void()> done);
+    /** Called with the keys of the records that the store refuses for good. */
+    using write_callback =
+        std::function<void(const std::vector<std::string>& refused_keys)>;
+
+    /**
+     * Stores records in order, in as many batches as the limits require, then
+     * calls `done`. A record that the store refuses is set aside.
+     * @pre No other call is pending.
+     */
+    void write(std::vector<platform::keyed_record> records,
+               write_callback done);
 
     /** Deletes keys in the background, with the next batch or on their own. */
     void delete_keys(const std::vector<std::string>& keys);
@@ -87,7 +97,16 @@
     };
 
     void fence_partition(partition_state& state);
+    /** Begins with the next batch of the pending `write`, or ends it. */
+    void write_next_batch();
+    /**
+     * The store never accepts a batch: it is halved until only the record that
+     * is refused is left, which is set aside.
+     */
+    void append_refused(partition_state& state);
     void start_batch(partition_state& state);
+    /** Adds pending tombstones to the records of an append. */
+    static void add_tombstones(partition_state& state);
     /** Appends the pending tombstones without a batch. */
     void flush_tombstones(partition_state& state);
     void send_append(partition_state& state);
@@ -108,7 +127,12 @@
     std::vector<partition_state> partitions_;
     std::size_t preferred_partition_ = 0; ///< It stored the last batch.
     std::int64_t last_batch_number_ = 0;
-    std::vector<platform::keyed_record> last_batch_; ///< Its records.
+    append_limits limits_;
+    std::deque<std::vector<platform::keyed_record>> pending_batches_;
+    std::vector<std::string> refused_keys_; ///< Of the pending `write`.
+    write_callback on_written_;
+    std::vector<platform::keyed_record> last_batch_; ///< Without stamps.
+    std::string last_stamp_;
     std::function<void()> on_stored_; ///< Empty when that batch is stored.
     std::function<void()> on_fenced_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/front/record_writer.cpp
+++ b/src/front/record_writer.cpp
@@ -1,6 +1,7 @@
 #include "front/record_writer.hpp"
 
 #include "base/log_func.hpp"
+#include "front/append_batches.hpp"
 
 #include <algorithm>
 #include <tuple>
@@ -38,7 +39,12 @@
 }
 
 void record_writer::start_batch() {
+    std::size_t bytes = 0;
     while (!queue_.empty() && batch_.size() < MAX_BATCH_RECORDS) {
+        bytes += stored_bytes(queue_.front().record);
+        if (!batch_.empty() && options_.max_append_bytes > 0 &&
+            bytes > options_.max_append_bytes)
+            break;
         batch_.push_back(std::move(queue_.front()));
         queue_.pop_front();
     }
--- a/src/front/record_writer.hpp
+++ b/src/front/record_writer.hpp
@@ -26,6 +26,7 @@
     int partitions = 1;      ///< Number of partitions that may be used.
     int first_partition = 0; ///< Used until an append fails.
     std::string producer;    ///< Unique name of this process and writer.
+    std::size_t max_append_bytes = 0; ///< Of one append; 0: no limit.
 };
 
 /**
--- a/tests/dispatch_stored_test.cpp
+++ b/tests/dispatch_stored_test.cpp
@@ -72,3 +72,29 @@
     cell->run_until(millis(145'000));
     EXPECT_EQ(cell->removed_jobs(), 1);
 }
+
+// The store refuses the record of a job of many tasks. Guards against waiting
+// for it for ever: no job of the cell started any more.
+TEST(dispatch_stored, a_refused_record_stops_only_its_own_job) {
+    auto cell = make_cell(54);
+    cell->set_max_record_bytes(2000);
+    job_spec large = one_task(millis(500));
+    large.steps[0].count = 100;
+    const job_id refused = cell->submit("checks", "a", large);
+    std::vector<job_id> others;
+    for (int i = 0; i < 10; ++i)
+        others.push_back(cell->submit("checks", "a", one_task(millis(500))));
+    cell->run_until(millis(10'000));
+    for (const job_id& job : others)
+        EXPECT_EQ(cell->owner_under_test().state_of(job, ORGANISATION),
+                  job_state::completed);
+    EXPECT_EQ(cell->owner_under_test().state_of(refused, ORGANISATION),
+              job_state::failed);
+    EXPECT_EQ(cell->runs_of(refused), 0U);
+    EXPECT_EQ(cell->overlapping_runs(), 0);
+    cell->restart_owner();
+    cell->run_until(millis(20'000));
+    EXPECT_EQ(cell->owner_under_test().state_of(refused, ORGANISATION),
+              job_state::failed);
+    EXPECT_EQ(cell->starts(), 10);
+}
--- a/tests/dispatch_world.cpp
+++ b/tests/dispatch_world.cpp
@@ -445,8 +445,13 @@
 void simulated_cell::flush_store() {
     if (store_down_ || pending_appends_.empty())
         return;
+    std::vector<job_id> refused;
     for (const auto& batch : std::exchange(pending_appends_, {}))
         for (const store_record& record : batch) {
+            if (record.value.size() > max_record_bytes_) {
+                refused.push_back({record.key.substr(2)});
+                continue;
+            }
             stored_[record.key] = record.value;
             if (!record.key.starts_with("p/"))
                 continue;
@@ -456,6 +461,8 @@
                 jobs_[id].ended_at == 0)
                 jobs_[id].ended_at = now_;
         }
+    if (!refused.empty())
+        owner_->records_refused(refused, clock());
     owner_->records_stored(clock());
     schedule_tick();
 }
--- a/tests/dispatch_world.hpp
+++ b/tests/dispatch_world.hpp
@@ -7,6 +7,7 @@
 #include "dispatch/owner_base.hpp"
 
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -97,6 +98,8 @@
     /** A new owner takes over with the records in the store. */
     void restart_owner();
     void set_store_down(bool down);
+    /** The store refuses records over this size. */
+    void set_max_record_bytes(std::size_t bytes) { max_record_bytes_ = bytes; }
     /** The owner, and any later one, has no configuration. */
     void withhold_config(bool withheld);
     /** Deletes all records of a job; its runs continue. */
@@ -218,6 +221,7 @@
     std::map<host_id, std::int64_t> advice_free_at_;
     std::vector<std::vector<store_record>> pending_appends_;
     bool store_down_ = false;
+    std::size_t max_record_bytes_ = std::numeric_limits<std::size_t>::max();
     bool config_withheld_ = false;
     bool drop_start_answers_ = false;
     double delayed_start_share_ = 0;
