MIXED: a job counts as begun when a target has confirmed a start

Cause: a job became `running` when a task was placed, and stayed so when the start was refused; `waiting` left it out while it had no room.

Change: a job becomes `running` when a target confirms a start, lists a run of the job or reports the end of one. The change alone is not stored, which would cost an append for each job; it is part of the next record, and a later owner learns it from the target. Until then a copy of the store shows `pending`.

--- a/src/dispatch/dispatch_type.hpp
+++ b/src/dispatch/dispatch_type.hpp
@@ -61,8 +61,8 @@
 
 /** State of a job as reported to callers. */
 enum class job_state {
-    pending,   ///< No task has been placed yet.
-    running,   ///< At least one task has been placed.
+    pending,   ///< No task has started yet.
+    running,   ///< At least one task has started.
     completed, ///< All tasks succeeded.
     failed,    ///< A task used up its attempts.
     cancelled, ///< At a caller's request.
--- a/src/dispatch/job_table.cpp
+++ b/src/dispatch/job_table.cpp
@@ -126,12 +126,15 @@
     task->run = run;
     task->target = on.id;
     task->incarnation = on.incarnation;
-    job_entry* job = find(id.step.job);
-    if (job->state == job_state::pending)
-        job->state = job_state::running;
     mark_changed(id.step.job);
 }
 
+void job_table::begin(const job_id& id) {
+    job_entry* job = find(id);
+    if (job != nullptr && job->state == job_state::pending)
+        job->state = job_state::running;
+}
+
 void job_table::requeue(const task_id& id) {
     task_entry* task = find(id);
     if (task == nullptr || task->phase == task_phase::waiting ||
@@ -155,6 +158,7 @@
     step_entry* step = find(id.step);
     if (job == nullptr || step == nullptr)
         return;
+    begin(id.step.job);
     const bool gang = spec(id.step)->gang;
     for (size_t i = 0; i < step->tasks.size(); ++i) {
         task_entry& task = step->tasks[i];
@@ -192,6 +196,7 @@
     task_entry* task = find(id);
     if (task == nullptr || task->phase == task_phase::done)
         return false;
+    begin(id.step.job);
     const step_spec& definition = *spec(id.step);
     step_entry& step = *find(id.step);
     if (task->phase == task_phase::placed && task->run == run) {
--- a/src/dispatch/job_table.hpp
+++ b/src/dispatch/job_table.hpp
@@ -112,6 +112,12 @@
      */
     void place(const task_id& task, std::int32_t run, const target_entry& on);
 
+    /**
+     * A target has confirmed that a run of the job has started. This alone is
+     * not stored: a later owner learns it from the target as well.
+     */
+    void begin(const job_id& id);
+
     /**
      * Returns a task to waiting.
      * @pre No run of the task can exist any more.
--- a/src/dispatch/owner_poll.cpp
+++ b/src/dispatch/owner_poll.cpp
@@ -147,6 +147,7 @@
 void owner::process_end(target_state& target, const listed_end& end,
                         const owner_clock& clock) {
     target.last_applied_end = end.sequence;
+    jobs_.begin(end.task.step.job);
     const auto found = target.runs.find(end.task);
     const bool known =
         found != target.runs.end() && found->second.run == end.run;
@@ -198,6 +199,7 @@
 
 void owner::process_listed_run(target_state& target, const listed_run& listed,
                                const owner_clock& clock) {
+    jobs_.begin(listed.task.step.job);
     const auto found = target.runs.find(listed.task);
     if (found != target.runs.end() && found->second.run == listed.run) {
         run_entry& run = found->second;
--- a/src/dispatch/owner_start.cpp
+++ b/src/dispatch/owner_start.cpp
@@ -86,6 +86,7 @@
         return;
     run.phase_since = clock.now;
     if (answer.done) {
+        jobs_.begin(task.step.job);
         run.phase = run_phase::running;
         run.started = clock.now;
         return;
--- a/tests/dispatch_world.cpp
+++ b/tests/dispatch_world.cpp
@@ -247,7 +247,9 @@
     const step_spec& spec =
         accepted_.at(order.task.step.job)
             .spec.steps[static_cast<size_t>(order.task.step.step)];
-    if (order.fencing_token < target.fencing_token) {
+    if (target.refusing) {
+        answer.refusal = order_refusal::other;
+    } else if (order.fencing_token < target.fencing_token) {
         answer.refusal = order_refusal::stale_token;
     } else if (order.lease_end_ms <= answer.clock_ms) {
         answer.refusal = order_refusal::lease_expired;
@@ -530,6 +532,10 @@
     targets_[static_cast<size_t>(target)].failing = failing;
 }
 
+void simulated_cell::set_refusing(int target, bool refusing) {
+    targets_[static_cast<size_t>(target)].refusing = refusing;
+}
+
 void simulated_cell::set_slow(int target, double factor) {
     targets_[static_cast<size_t>(target)].slowdown = factor;
 }
--- a/tests/dispatch_world.hpp
+++ b/tests/dispatch_world.hpp
@@ -86,6 +86,8 @@
     void restart_target(int target);
     void set_failing(int target, bool failing);
     void set_slow(int target, double factor);
+    /** The target refuses all start orders. */
+    void set_refusing(int target, bool refusing);
     /** Multiplies the duration of a task on any target. */
     void slow_down_task(const task_id& task, double factor) {
         task_slowdowns_[task] = factor;
@@ -163,6 +165,7 @@
         std::map<task_id, std::int32_t> stopped_runs;
         bool silent = false;
         bool failing = false;
+        bool refusing = false;
         double slowdown = 1;
         std::function<void()> pending_poll;
     };
