Owner: split deletions into appends within the limit

The deletions of one round went into one append. Over the store's limit for a call, as after a takeover with many ended jobs, the store would have refused it each time. They are split like other records; progress is still deleted only after all of them.

--- a/src/front/owner_service.cpp
+++ b/src/front/owner_service.cpp
@@ -504,9 +504,9 @@
     std::vector<std::string> progress_keys;
     for (const job_id& id : jobs)
         progress_keys.push_back(progress_key(id));
-    const auto partitions_left = std::make_shared<int>(1);
-    const auto partition_done = [this, partitions_left, progress_keys] {
-        if (--*partitions_left == 0)
+    const auto appends_left = std::make_shared<int>(1);
+    const auto append_done = [this, appends_left, progress_keys] {
+        if (--*appends_left == 0)
             progress_writer_.delete_keys(progress_keys);
     };
     for (std::size_t partition = 0; partition < job_followers_.size();
@@ -516,13 +516,15 @@
             for (const std::string& key : {job_key(id), cancel_key(id)})
                 if (job_followers_[partition]->has_key(key))
                     tombstones.push_back({.key = key});
-        if (tombstones.empty())
-            continue;
-        ++*partitions_left;
-        append_tombstones(static_cast<int>(partition), tombstones,
-                          partition_done);
+        const split_records split =
+            split_batch(std::move(tombstones),
+                        {.append_bytes = context_.settings.max_append_bytes});
+        for (const auto& batch : split.batches) {
+            ++*appends_left;
+            append_tombstones(static_cast<int>(partition), batch, append_done);
+        }
     }
-    partition_done();
+    append_done();
 }
 
 void owner_service::append_tombstones(int partition,
