--- a/tests/record_packing_test.cpp
+++ b/tests/record_packing_test.cpp
@@ -2,6 +2,7 @@
 #include "dispatch/job_size.hpp"
 #include "dispatch/record_codec.hpp"
 #include "dispatch/record_packing.hpp"
+#include "front/progress_writer.hpp"
 #include "rattan/error_type.hpp"
 
 #include <gtest/gtest.h>
@@ -102,3 +103,22 @@
     at_once.interval = millis(1000);
     EXPECT_NO_THROW(check_job_size(at_once, 500, RECORD_BYTES));
 }
+
+// Guards against a later owner or a reader of states that takes the packed
+// progress of a large job for damaged.
+TEST(record_packing, a_later_owner_reads_packed_progress) {
+    const job_entry job = large_job(9'000);
+    const auto [stamp, text] =
+        front::split_progress("7 12 " + pack_record(encode_progress(job)));
+    EXPECT_EQ(stamp.epoch, 7);
+    EXPECT_EQ(stamp.batch, 12);
+    EXPECT_EQ(decode_progress_state(text), job.state);
+    job_entry restored{.record = job.record};
+    apply_progress(restored, text);
+    const step_entry& step = restored.repeats.at(0).steps[0];
+    EXPECT_EQ(step.waiting, 0);
+    EXPECT_EQ(step.tasks[8'999].run, 4);
+    EXPECT_EQ(step.tasks[8'999].checkpoint,
+              job.repeats.at(0).steps[0].tasks[8'999].checkpoint);
+    EXPECT_EQ(encode_progress(restored), encode_progress(job));
+}
