--- a/src/dispatch/job_table.hpp
+++ b/src/dispatch/job_table.hpp
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -133,6 +134,12 @@
      */
     void place(const task_id& task, std::int32_t run, const target_entry& on);
 
+    /**
+     * A target has confirmed that a run of the job has started. This alone is
+     * not stored: a later owner learns it from the target as well.
+     */
+    void begin(const job_id& id);
+
     /**
      * Returns a task to waiting.
      * @pre No run of the task can exist any more.
@@ -151,11 +158,25 @@
     /**
      * Records a failed run. A run counts only once, since targets report an end
      * again to a new owner.
-     * @param max_attempts Number of failed runs after which the job fails.
+     * @param max_attempts Number of failed runs after which the job fails;
+     * nothing: not known yet, the run is only counted.
      * @return True if the job has failed because of this run.
      */
-    bool fail(const task_id& task, std::int32_t run, int max_attempts,
-              std::int64_t wall_ms);
+    bool fail(const task_id& task, std::int32_t run,
+              std::optional<int> max_attempts, std::int64_t wall_ms);
+
+    /**
+     * Fails a job if a task that waits for another run has no attempt left.
+     * @return True if the job has failed.
+     */
+    bool fail_if_exhausted(const job_id& id, int max_attempts,
+                           std::int64_t wall_ms);
+
+    /**
+     * Fails a job that can't be finished or stored.
+     * @return False if it is unknown or has already ended.
+     */
+    bool abandon(const job_id& id, std::int64_t wall_ms);
 
     /** Cancels a job. @return False if it is unknown or has already ended. */
     bool cancel(const job_id& id, std::int64_t wall_ms);
@@ -165,9 +186,6 @@
      */
     void record_checkpoint(const task_id& task, const std::string& checkpoint);
 
-    /** Ends a job as failed. @return False if it has already ended. */
-    bool give_up(const job_id& id, std::int64_t wall_ms);
-
     void remove(const job_id& id);
 
     /** Adds a job to those whose progress has to be stored. */
--- a/src/dispatch/owner_base.hpp
+++ b/src/dispatch/owner_base.hpp
@@ -43,8 +43,9 @@
                             const std::vector<std::string>& targets,
                             millis timeout) = 0;
     /**
-     * Stores the records atomically and in order; `owner::records_stored` is
-     * called afterwards.
+     * Stores the records in order, each one whole; `owner::records_stored` is
+     * called afterwards, and before it `owner::records_refused` if the store
+     * does not accept some of them.
      */
     virtual void store(const std::vector<store_record>& records) = 0;
     /**
@@ -91,7 +92,7 @@
 
     /** @name External events. */
     ///@{
-    void set_config(const cell_config& config) { config_ = config; }
+    void set_config(const cell_config& config);
     void set_evacuated(std::set<data_centre_id> centres);
     void set_hosts(const std::vector<host_id>& hosts);
     /** A target's entry in the platform's list is new or has changed. */
@@ -138,7 +139,13 @@
                        mono_time sent_at, const owner_clock& clock);
     void advice_answered(const host_id& host, const step_ref& step, bool slow,
                          const advice_answer& answer, const owner_clock& clock);
-    /** The records of the last `store` call have been stored. */
+    /**
+     * The store does not accept the records of some jobs in the last `store`
+     * call. These jobs fail; the others continue.
+     */
+    void records_refused(const std::vector<job_id>& jobs,
+                         const owner_clock& clock);
+    /** The other records of the last `store` call have been stored. */
     void records_stored(const owner_clock& clock);
     ///@}
 
@@ -189,10 +196,17 @@
     [[nodiscard]] target_address address_of(const target_state& t) const;
     void start_due_repeats(const owner_clock& clock);
     void purge_expired(const owner_clock& clock);
-    void store_changes(const owner_clock& clock);
-    [[nodiscard]] int max_attempts(const job_entry& job) const;
+    void store_changes();
+    /** The ends in the last `store` call are stored: they may be shown. */
+    void confirm_job_ends(const owner_clock& clock);
     [[nodiscard]] bool consume_rate_credit(const job_record& record);
 
+    // owner_attempts.cpp
+    /** Nothing while the configuration does not name the job's queue. */
+    [[nodiscard]] std::optional<int> max_attempts(const job_entry& job) const;
+    /** Fails jobs that have no attempt left by a new configuration. */
+    void apply_max_attempts(const owner_clock& clock);
+
     // owner_place.cpp, owner_start.cpp
     void schedule(const owner_clock& clock);
     void collect_schedulable(mono_time now);
@@ -308,7 +322,10 @@
     target_table targets_;
     advice_table advice_;
     crash_suspects suspects_;
-    std::set<job_id> live_jobs_; ///< Jobs that have not ended.
+    /** Jobs that have not ended, or whose end is not stored yet. */
+    std::set<job_id> live_jobs_;
+    /** Jobs whose end the pending `store` call records. */
+    std::vector<job_id> job_ends_in_store_call_;
     /** Token bucket for the submission rate of an organisation. */
     struct rate_bucket {
         double credit = 0;
@@ -329,6 +346,8 @@
     bool store_pending_ = false;
     bool superseded_ = false;
     bool schedule_due_ = false;
+    /** Attempts counted so far have not been compared with `config_`. */
+    bool attempts_due_ = true;
     mono_time next_schedule_{};
     /**
      * Targets that may receive work in this placement round, and the maximum of
--- a/src/dispatch/owner_start.cpp
+++ b/src/dispatch/owner_start.cpp
@@ -93,6 +93,7 @@
         return;
     run.phase_since = clock.now;
     if (answer.done) {
+        jobs_.begin(task.step.job);
         run.started = clock.now;
         run.started_clock_ms = answer.clock_ms;
         const bool known_process =
--- a/src/front/owner_service.cpp
+++ b/src/front/owner_service.cpp
@@ -3,6 +3,7 @@
 #include "base/log_func.hpp"
 #include "dispatch/partition_func.hpp"
 #include "dispatch/reader_func.hpp"
+#include "dispatch/record_packing.hpp"
 #include "net/program_runtime.hpp"
 #include "net/thrift_codec.hpp"
 #include "platform/wire_codec.hpp"
@@ -96,6 +97,8 @@
       progress_writer_(
           context.loop, context.store, epoch,
           std::min(context.settings.store_partitions, MAX_PROGRESS_PARTITIONS),
+          {.record_bytes = context.settings.max_record_bytes,
+           .append_bytes = context.settings.max_append_bytes},
           {.fenced = [this] { context_.members.handle_fenced(); },
            .answered =
                [this](mono_time sent_at) {
@@ -221,11 +224,14 @@
         !target_follower_->loaded())
         return;
     const owner_clock at = clock();
-    for (const auto& [id, record] : std::exchange(loaded_jobs_, {}))
+    const auto stored_jobs = std::exchange(loaded_jobs_, {});
+    for (const auto& [id, record] : stored_jobs)
         restore_job(id, record, at);
+    // The progress of a job whose record can't be decoded here is kept: another
+    // version may decode it.
     std::vector<std::string> orphans;
     for (const auto& [id, progress] : std::exchange(loaded_progress_, {}))
-        if (owner_.jobs().find(id) == nullptr)
+        if (!stored_jobs.contains(id))
             orphans.push_back(progress_key(id));
     progress_writer_.delete_keys(orphans);
     owner_.take_over(at);
@@ -488,21 +494,28 @@
 void owner_service::store(const std::vector<store_record>& records) {
     std::vector<keyed_record> out;
     for (const store_record& record : records)
-        out.push_back({.key = record.key, .value = record.value});
+        out.push_back({.key = record.key, .value = pack_record(record.value)});
     ++context_.metrics.counter("rattan_owner_appends_total");
-    progress_writer_.write(out, guarded([this] {
-                               owner_.records_stored(clock());
-                               schedule_tick();
-                           }));
+    progress_writer_.write(
+        std::move(out),
+        guarded([this](const std::vector<std::string>& refused_keys) {
+            std::vector<job_id> refused;
+            for (const std::string& key : refused_keys)
+                refused.push_back({key.substr(KEY_PREFIX_BYTES)});
+            if (!refused.empty())
+                owner_.records_refused(refused, clock());
+            owner_.records_stored(clock());
+            schedule_tick();
+        }));
 }
 
 void owner_service::remove_jobs(const std::vector<job_id>& jobs) {
     std::vector<std::string> progress_keys;
     for (const job_id& id : jobs)
         progress_keys.push_back(progress_key(id));
-    const auto partitions_left = std::make_shared<int>(1);
-    const auto partition_done = [this, partitions_left, progress_keys] {
-        if (--*partitions_left == 0)
+    const auto appends_left = std::make_shared<int>(1);
+    const auto append_done = [this, appends_left, progress_keys] {
+        if (--*appends_left == 0)
             progress_writer_.delete_keys(progress_keys);
     };
     for (std::size_t partition = 0; partition < job_followers_.size();
@@ -516,13 +529,15 @@
                  follower.keys_with_prefix(cancel_key_prefix(id)))
                 tombstones.push_back({.key = key});
         }
-        if (tombstones.empty())
-            continue;
-        ++*partitions_left;
-        append_tombstones(static_cast<int>(partition), tombstones,
-                          partition_done);
+        const split_records split =
+            split_batch(std::move(tombstones),
+                        {.append_bytes = context_.settings.max_append_bytes});
+        for (const auto& batch : split.batches) {
+            ++*appends_left;
+            append_tombstones(static_cast<int>(partition), batch, append_done);
+        }
     }
-    partition_done();
+    append_done();
 }
 
 void owner_service::append_tombstones(int partition,
--- a/tests/dispatch_world.cpp
+++ b/tests/dispatch_world.cpp
@@ -257,7 +257,9 @@
     const step_spec& spec =
         accepted_.at(order.task.step.job)
             .spec.steps[static_cast<size_t>(order.task.step.step)];
-    if (order.fencing_token < target.fencing_token) {
+    if (target.refusing) {
+        answer.refusal = order_refusal::other;
+    } else if (order.fencing_token < target.fencing_token) {
         answer.refusal = order_refusal::stale_token;
     } else if (order.lease_end_ms <= answer.clock_ms) {
         answer.refusal = order_refusal::lease_expired;
@@ -544,8 +546,13 @@
 void simulated_cell::flush_store() {
     if (store_down_ || pending_appends_.empty())
         return;
+    std::vector<job_id> refused;
     for (const auto& batch : std::exchange(pending_appends_, {}))
         for (const store_record& record : batch) {
+            if (record.value.size() > max_record_bytes_) {
+                refused.push_back({record.key.substr(2)});
+                continue;
+            }
             stored_[record.key] = record.value;
             if (!record.key.starts_with("p/"))
                 continue;
@@ -555,6 +562,8 @@
                 jobs_[id].ended_at == 0)
                 jobs_[id].ended_at = now_;
         }
+    if (!refused.empty())
+        owner_->records_refused(refused, clock());
     owner_->records_stored(clock());
     schedule_tick();
 }
@@ -571,7 +580,8 @@
     owner_settings settings;
     settings.epoch = epoch_;
     owner_ = std::make_unique<owner>(settings, *this);
-    owner_->set_config(config_);
+    if (!config_withheld_)
+        owner_->set_config(config_);
     std::vector<host_id> hosts;
     for (int i = 0; i < options_.hosts; ++i)
         hosts.push_back({"h" + std::to_string(i)});
@@ -596,6 +606,12 @@
     schedule_tick();
 }
 
+void simulated_cell::withhold_config(bool withheld) {
+    config_withheld_ = withheld;
+    owner_->set_config(withheld ? cell_config{} : config_);
+    schedule_tick();
+}
+
 void simulated_cell::set_silent(int target, bool silent) {
     targets_[static_cast<size_t>(target)].silent = silent;
 }
@@ -705,6 +721,10 @@
     targets_[static_cast<size_t>(target)].failing = failing;
 }
 
+void simulated_cell::set_refusing(int target, bool refusing) {
+    targets_[static_cast<size_t>(target)].refusing = refusing;
+}
+
 void simulated_cell::set_slow(int target, double factor) {
     targets_[static_cast<size_t>(target)].slowdown = factor;
 }
@@ -734,6 +754,14 @@
         [&](const submitted& job) { return job.organisation == organisation; });
 }
 
+std::optional<int> simulated_cell::target_of(const job_id& job) const {
+    for (std::size_t i = 0; i < targets_.size(); ++i)
+        for (const auto& [task, run] : targets_[i].runs)
+            if (task.step.job == job)
+                return static_cast<int>(i);
+    return std::nullopt;
+}
+
 std::size_t simulated_cell::runs_of(const job_id& job) const {
     std::size_t count = 0;
     for (const fake_target& target : targets_)
--- a/tests/dispatch_world.hpp
+++ b/tests/dispatch_world.hpp
@@ -7,8 +7,10 @@
 #include "dispatch/owner_base.hpp"
 
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <random>
 #include <set>
@@ -122,6 +124,8 @@
     void set_capacity(int target, const resources& capacity);
     void set_failing(int target, bool failing);
     void set_slow(int target, double factor);
+    /** The target refuses all start orders. */
+    void set_refusing(int target, bool refusing);
     /** Multiplies the duration of a task on any target. */
     void slow_down_task(const task_id& task, double factor) {
         task_slowdowns_[task] = factor;
@@ -136,6 +140,10 @@
     /** A new owner takes over with the records in the store. */
     void restart_owner();
     void set_store_down(bool down);
+    /** The store refuses records over this size. */
+    void set_max_record_bytes(std::size_t bytes) { max_record_bytes_ = bytes; }
+    /** The owner, and any later one, has no configuration. */
+    void withhold_config(bool withheld);
     /** Deletes all records of a job; its runs continue. */
     void delete_job(const job_id& job) {
         accepted_.erase(job);
@@ -198,6 +206,10 @@
     [[nodiscard]] std::size_t runs_on(int target) const {
         return targets_[static_cast<size_t>(target)].runs.size();
     }
+    /** The target that runs a task of a job. */
+    [[nodiscard]] std::optional<int> target_of(const job_id& job) const;
+    /** Number of jobs whose records the owner has asked to delete. */
+    [[nodiscard]] int removed_jobs() const { return removed_jobs_; }
     [[nodiscard]] static target_id target_name(int target);
 
     // owner_output
@@ -217,7 +229,9 @@
                     const std::vector<std::string>& targets,
                     millis timeout) override;
     void store(const std::vector<store_record>& records) override;
-    void remove_jobs(const std::vector<job_id>&) override {}
+    void remove_jobs(const std::vector<job_id>& jobs) override {
+        removed_jobs_ += static_cast<int>(jobs.size());
+    }
     void log(std::string_view event, const job_id& job,
              const std::string&) override {
         if (event == "job_given_up")
@@ -248,6 +262,7 @@
         bool down = false; ///< Its process has ended.
         int lives = 1;     ///< Processes so far.
         bool failing = false;
+        bool refusing = false;
         double slowdown = 1;
         std::function<void()> pending_poll;
     };
@@ -320,6 +335,8 @@
     std::map<host_id, std::int64_t> advice_free_at_;
     std::vector<std::vector<store_record>> pending_appends_;
     bool store_down_ = false;
+    std::size_t max_record_bytes_ = std::numeric_limits<std::size_t>::max();
+    bool config_withheld_ = false;
     bool drop_start_answers_ = false;
     double delayed_start_share_ = 0;
     bool delay_polls_ = false;
@@ -351,6 +368,7 @@
     int starts_ = 0;
     int polls_ = 0;
     int starts_with_old_ticket_ = 0;
+    int removed_jobs_ = 0;
     int ticks_ = 0;
     int next_job_ = 0;
 };
