Tests: allocations of the owner that have no end

Cause: `owner::expire_runs` releases the runs of an unresponsive target only if the clock of the target's current process is known, unless they are still inherited. A run that leaves that phase for `stopping` on a target that never answered this owner, and a run without an answer on a target that restarts and is then lost, are never released. Their tasks, and the whole gang of such a task, never start again.

The simulation gains targets that are lost for good, removal from the list and broken gangs; a silent target no longer answers a long poll that it received before it fell silent. No code outside of tests is changed.

--- a/tests/dispatch_world.cpp
+++ b/tests/dispatch_world.cpp
@@ -343,18 +343,8 @@
     after(options_.order_latency / 2, [this, index, order, sent_at] {
         fake_target& target = targets_[static_cast<size_t>(index)];
         expire_leases(target);
-        if (target.silent) {
-            after(order.timeout, [this, index, sent_at, order, epoch = epoch_] {
-                if (epoch != epoch_)
-                    return;
-                owner_->poll_answered(
-                    target_name(index),
-                    {.order = {.sent = true}, .concurrent = order.concurrent},
-                    sent_at, clock());
-                schedule_tick();
-            });
-            return;
-        }
+        if (target.silent)
+            return time_out_poll(index, order, sent_at);
         if (order.fencing_token < target.fencing_token) {
             deliver_answer([this, index, sent_at] {
                 owner_->poll_answered(
@@ -383,9 +373,26 @@
     });
 }
 
+void simulated_cell::time_out_poll(int index, const poll_order& order,
+                                   mono_time sent_at) {
+    const millis due = sent_at.time_since_epoch() + order.timeout;
+    at(std::max(due, millis(now_)),
+       [this, index, sent_at, order, epoch = epoch_] {
+           if (epoch != epoch_)
+               return;
+           owner_->poll_answered(
+               target_name(index),
+               {.order = {.sent = true}, .concurrent = order.concurrent},
+               sent_at, clock());
+           schedule_tick();
+       });
+}
+
 void simulated_cell::send_poll_answer(int index, const poll_order& order,
                                       mono_time sent_at) {
     const fake_target& target = targets_[static_cast<size_t>(index)];
+    if (target.silent)
+        return time_out_poll(index, order, sent_at);
     poll_answer answer{
         .order = {.answered = true,
                   .sent = true,
@@ -479,7 +486,8 @@
     owner_->set_hosts(hosts);
     owner_->ownership_confirmed(clock().now);
     for (const fake_target& target : targets_)
-        owner_->target_listed(target.entry, clock());
+        if (target.listed)
+            owner_->target_listed(target.entry, clock());
     for (const auto& [id, record] : accepted_) {
         job_entry job{.record = record};
         const auto progress = stored_.find(progress_key(id));
@@ -512,6 +520,36 @@
     ++restarted.entry.incarnation;
 }
 
+void simulated_cell::lose_target(int target) {
+    restart_target(target);
+    targets_[static_cast<size_t>(target)].pending_poll = nullptr;
+    set_silent(target, true);
+}
+
+void simulated_cell::set_listed(int target, bool listed) {
+    fake_target& changed = targets_[static_cast<size_t>(target)];
+    changed.listed = listed;
+    if (listed)
+        owner_->target_listed(changed.entry, clock());
+    else
+        owner_->target_delisted(changed.entry.id);
+    schedule_tick();
+}
+
+void simulated_cell::break_gangs(const job_id& job) {
+    for (fake_target& target : targets_) {
+        std::vector<task_id> members;
+        for (const auto& [task, run] : target.runs)
+            if (task.step.job == job &&
+                accepted_.at(job)
+                    .spec.steps[static_cast<size_t>(task.step.step)]
+                    .gang)
+                members.push_back(task);
+        for (const task_id& task : members)
+            end_run(target, task, run_end::gang_broken);
+    }
+}
+
 void simulated_cell::set_failing(int target, bool failing) {
     targets_[static_cast<size_t>(target)].failing = failing;
 }
@@ -553,4 +591,24 @@
     return count;
 }
 
+bool simulated_cell::has_run(const target_id& target, const task_id& task,
+                             std::int32_t run) const {
+    const auto& runs = targets_[static_cast<size_t>(index_of(target))].runs;
+    const auto found = runs.find(task);
+    return found != runs.end() && found->second.run == run;
+}
+
+bool simulated_cell::usable(const target_id& target) const {
+    const fake_target& found = targets_[static_cast<size_t>(index_of(target))];
+    return found.listed && !found.silent;
+}
+
+resources simulated_cell::free_capacity(const target_id& target) const {
+    const fake_target& found = targets_[static_cast<size_t>(index_of(target))];
+    resources out = found.entry.capacity;
+    for (const auto& [task, run] : found.runs)
+        out -= run.demand;
+    return out;
+}
+
 } // namespace rattan::dispatch::testing
--- a/tests/dispatch_world.hpp
+++ b/tests/dispatch_world.hpp
@@ -82,6 +82,15 @@
     ///@{
     void set_silent(int target, bool silent);
     void restart_target(int target);
+    /** The target ends with its runs and never answers again. */
+    void lose_target(int target);
+    /**
+     * Adds a target's current entry to the platform's list, or removes it. The
+     * owner is told at once.
+     */
+    void set_listed(int target, bool listed);
+    /** Ends the runs of a job's gangs as on the loss of a member. */
+    void break_gangs(const job_id& job);
     void set_failing(int target, bool failing);
     void set_slow(int target, double factor);
     /** Multiplies the duration of a task on any target. */
@@ -117,6 +126,12 @@
     [[nodiscard]] std::size_t runs_on(int target) const {
         return targets_[static_cast<size_t>(target)].runs.size();
     }
+    [[nodiscard]] bool has_run(const target_id& target, const task_id& task,
+                               std::int32_t run) const;
+    /** Tells whether a target answers and is in the platform's list. */
+    [[nodiscard]] bool usable(const target_id& target) const;
+    /** Capacity that no run on the target uses. */
+    [[nodiscard]] resources free_capacity(const target_id& target) const;
     [[nodiscard]] static target_id target_name(int target);
 
     // owner_output
@@ -150,6 +165,7 @@
         /** Highest run number that may no longer start. */
         std::map<task_id, std::int32_t> stopped_runs;
         bool silent = false;
+        bool listed = true;
         bool failing = false;
         double slowdown = 1;
         std::function<void()> pending_poll;
@@ -185,6 +201,8 @@
     void send_poll_answer(int target, const poll_order& order,
                           mono_time sent_at);
     void expire_leases(fake_target& target);
+    /** Tells the owner, when the poll's timeout has passed, of no answer. */
+    void time_out_poll(int target, const poll_order& order, mono_time sent_at);
     int index_of(const target_id& id) const;
     [[nodiscard]] millis actual_duration(const task_id& task);
     /** The job with actual durations in place of the estimates. */
