Advice: calls only to hosts that are in touch

Cause: a host registers in `keyed.members` and its record stayed there for ever. The owner gave all registered hosts to the advice table, which prefers the host with the fewest pending calls, and a removed host has none. Each call to it lasted until its timeout, 1.5 s more than the call, and its step had no advice. Other uses of the records had the same fault: delegated calls were hashed over removed hosts, the six hosts asked for a write could all be removed ones, and removed hosts delayed claims by their rank, made a small cell count as a large one and could be its state readers.

Change: - The owner notes the heartbeats of the other hosts. A host that finds its record removed registers again. A reload of the topic drops hosts whose records are gone. - Of hosts asked whether they reach the store, those without an answer come last and in turn. - A host whose last advice call failed gets the next one only if all others are busy. The late result of a heartbeat to an earlier owner no longer counts for the new one.

--- a/src/dispatch/advice_table.cpp
+++ b/src/dispatch/advice_table.cpp
@@ -83,6 +83,9 @@
 
 advice_host* advice_table::find_host(millis duration, mono_time now) {
     const bool slow = duration >= SLOW_CALL_THRESHOLD;
+    const auto rank = [](const advice_host& entry) {
+        return std::pair(entry.last_call_failed, entry.pending_calls);
+    };
     advice_host* best = nullptr;
     for (std::size_t i = 0; i < hosts_.size(); ++i) {
         advice_host& entry = hosts_[i];
@@ -90,7 +93,7 @@
             entry.pending_calls >= max_calls(i, slow) ||
             (!slow && entry.has_slow_call))
             continue;
-        if (best == nullptr || entry.pending_calls < best->pending_calls)
+        if (best == nullptr || rank(entry) < rank(*best))
             best = &entry;
     }
     return best;
@@ -115,6 +118,7 @@
         entry.pending_calls = std::max(0, entry.pending_calls - 1);
         if (slow)
             entry.has_slow_call = false;
+        entry.last_call_failed = failed;
         if (failed)
             entry.unavailable_until = now + HOST_BACKOFF;
     }
--- a/src/dispatch/advice_table.hpp
+++ b/src/dispatch/advice_table.hpp
@@ -47,6 +47,7 @@
     int pending_calls = 0;
     bool has_slow_call = false;    ///< A pending call is slow.
     mono_time unavailable_until{}; ///< Back-off after a failure.
+    bool last_call_failed = false;
 };
 
 /**
@@ -111,7 +112,10 @@
 private:
     /** Pending calls that a host, by index, may have of a kind. */
     [[nodiscard]] int max_calls(std::size_t host, bool slow) const;
-    /** The least busy host that may take a call, or null. */
+    /**
+     * The least busy host that may take a call, or null. Hosts whose last call
+     * failed come last; they may have been removed or cut off.
+     */
     advice_host* find_host(millis duration, mono_time now);
     /** Notes that the pending call of a step has ended. */
     void end_call(step_advice& step);
--- a/src/dispatch/claim_func.cpp
+++ b/src/dispatch/claim_func.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace rattan::dispatch {
 
@@ -138,4 +139,22 @@
     return out;
 }
 
+std::vector<std::string> peers_to_ask(std::vector<peer_candidate> peers,
+                                      std::size_t count) {
+    const auto rank = [](const peer_candidate& peer) {
+        return std::pair(peer.unanswered,
+                         peer.unanswered ? peer.asked_at : mono_time{});
+    };
+    std::stable_sort(peers.begin(), peers.end(),
+                     [&](const peer_candidate& a, const peer_candidate& b) {
+                         return rank(a) < rank(b);
+                     });
+    peers.resize(std::min(peers.size(), count));
+    std::vector<std::string> out;
+    out.reserve(peers.size());
+    for (peer_candidate& peer : peers)
+        out.push_back(std::move(peer.address));
+    return out;
+}
+
 } // namespace rattan::dispatch
--- a/src/dispatch/claim_func.hpp
+++ b/src/dispatch/claim_func.hpp
@@ -75,4 +75,18 @@
  */
 std::vector<std::string> usable_write_peers(std::vector<peer_view> peers);
 
+/** Another host that can be asked whether it reaches the store. */
+struct peer_candidate {
+    std::string address;
+    mono_time asked_at{};    ///< Last request; default: none.
+    bool unanswered = false; ///< That request has no answer so far.
+};
+
+/**
+ * Addresses of up to `count` peers to ask now. Hosts that do not answer, which
+ * may have been removed for good, come after all others and in turn.
+ */
+std::vector<std::string> peers_to_ask(std::vector<peer_candidate> peers,
+                                      std::size_t count);
+
 } // namespace rattan::dispatch
--- a/src/front/delegate_service.cpp
+++ b/src/front/delegate_service.cpp
@@ -34,10 +34,11 @@
         return;
     refreshed_at_ = now;
     std::int64_t max_milli_cores = 0;
-    for (const auto& [host, member] : members_.members())
+    const auto members = members_.members_in_touch();
+    for (const auto& [host, member] : members)
         max_milli_cores = std::max(max_milli_cores, member.milli_cores);
     addresses_.clear();
-    for (const auto& [host, member] : members_.members())
+    for (const auto& [host, member] : members)
         if (member.milli_cores * 2 >= max_milli_cores)
             addresses_.push_back(host == own_host_ ? std::string()
                                                    : member.address);
--- a/src/front/delegate_service.hpp
+++ b/src/front/delegate_service.hpp
@@ -33,8 +33,8 @@
 
 private:
     /**
-     * Updates the hosts that make calls: those with at least half the cores of
-     * the strongest one. This host may be among them.
+     * Updates the hosts that make calls: those in touch with at least half the
+     * cores of the strongest one. This host may be among them.
      */
     void refresh_addresses();
 
--- a/src/front/front_service.cpp
+++ b/src/front/front_service.cpp
@@ -210,7 +210,9 @@
     delegate_service::register_call_method(*rpc_server_, http_);
     rpc_server_->on(
         wire::method::BEAT,
-        [this](const std::string&, const rpc_server::responder& answer) {
+        [this](const std::string& body, const rpc_server::responder& answer) {
+            members_.handle_heartbeat(
+                {wire_decode<wire::beat_request>(body).host});
             answer(wire::status::OK, members_.encode_heartbeat_reply());
         });
     rpc_server_->on(wire::method::ADVISE, [this](const std::string& body,
--- a/src/front/member_service.cpp
+++ b/src/front/member_service.cpp
@@ -38,6 +38,10 @@
 constexpr std::size_t MAX_HEARTBEAT_PEERS = 6;
 constexpr millis APPEND_TIMEOUT{800};
 constexpr millis RETRY_DELAY{200};
+/** Reports of new hosts in touch that come within this time are combined. */
+constexpr millis CONTACTS_UPDATE_DELAY{30};
+/** Minimum time between two removals of members' records. */
+constexpr millis REMOVAL_PERIOD{1000};
 
 } // namespace
 
@@ -51,7 +55,9 @@
       member_follower_(
           loop, store, {.topic = MEMBERS_TOPIC, .max_wait = MEMBERS_MAX_WAIT},
           [this](const keyed_record& record) { handle_member_record(record); },
-          [](const std::set<std::string>&) {}),
+          [this](const std::set<std::string>& keys) {
+              handle_members_loaded(keys);
+          }),
       claim_follower_(
           loop, store, {.topic = CLAIMS_TOPIC, .max_wait = CLAIMS_MAX_WAIT},
           [this](const keyed_record& record) { handle_claim_record(record); },
@@ -73,6 +79,9 @@
     member_follower_.start();
     claim_follower_.start();
     loop_.every(HEARTBEAT_PERIOD, [this] {
+        contacts_.check(event_loop::now());
+        update_contacts();
+        remove_gone_members();
         send_heartbeat();
         if (store_age() > STORE_LATE_AGE) {
             probe_store();
@@ -122,24 +131,30 @@
 }
 
 void member_service::send_peer_heartbeats() {
-    std::size_t sent = 0;
+    std::vector<dispatch::peer_candidate> candidates;
     for (const auto& [host, member] : member_records_) {
         if (member.address == own_address_ || member.address == owner_.address)
             continue;
-        if (++sent > MAX_HEARTBEAT_PEERS)
-            return;
-        peer_state& state = peer_states_[member.address];
+        const peer_state& state = peer_states_[member.address];
+        candidates.push_back({.address = member.address,
+                              .asked_at = state.asked_at,
+                              .unanswered = state.unanswered});
+    }
+    for (const std::string& address :
+         dispatch::peers_to_ask(std::move(candidates), MAX_HEARTBEAT_PEERS)) {
+        peer_state& state = peer_states_[address];
         if (std::exchange(state.request_pending, true))
             continue;
-        rpc_client& client = peer(member.address);
+        state.asked_at = event_loop::now();
+        state.unanswered = true;
+        rpc_client& client = peer(address);
         client.reset_backoff();
         wire::beat_request request;
         request.host = settings_.host.value;
-        client.call(
-            wire::method::BEAT, wire_encode(request), HEARTBEAT_TIMEOUT,
-            [this, address = member.address](const rpc_call_result& answer) {
-                handle_peer_reply(address, answer);
-            });
+        client.call(wire::method::BEAT, wire_encode(request), HEARTBEAT_TIMEOUT,
+                    [this, address](const rpc_call_result& answer) {
+                        handle_peer_reply(address, answer);
+                    });
     }
 }
 
@@ -150,11 +165,14 @@
     if (!answer.ok())
         return;
     state.answered_at = event_loop::now();
+    state.unanswered = false;
     state.store_age =
         millis(wire_decode<wire::beat_reply>(answer.body).store_age_ms);
 }
 
 void member_service::register_host() {
+    if (leaving_ || std::exchange(registration_pending_, true))
+        return;
     const std::string value =
         dispatch::encode_member({.host = settings_.host,
                                  .data_centre = settings_.data_centre,
@@ -165,11 +183,79 @@
                                 .value = value}},
                    .timeout = APPEND_TIMEOUT},
                   [this](const append_answer& answer) {
+                      registration_pending_ = false;
                       if (answer.result != store_result::ok)
                           loop_.after(RETRY_DELAY, [this] { register_host(); });
                   });
 }
 
+std::map<host_id, dispatch::member_record>
+member_service::members_in_touch() const {
+    const mono_time now = event_loop::now();
+    std::map<host_id, dispatch::member_record> out;
+    for (const auto& [host, member] : member_records_)
+        if (host == settings_.host || contacts_.in_touch(host, now))
+            out.emplace(host, member);
+    return out;
+}
+
+void member_service::handle_heartbeat(const host_id& host) {
+    if (!is_owner_)
+        return;
+    contacts_.heard_from(host, event_loop::now());
+    if (hosts_in_touch_.contains(host) || !member_records_.contains(host) ||
+        std::exchange(contacts_update_scheduled_, true))
+        return;
+    // All hosts report to a new owner at about the same time.
+    loop_.after(CONTACTS_UPDATE_DELAY, [this] {
+        contacts_update_scheduled_ = false;
+        update_contacts();
+    });
+}
+
+void member_service::update_contacts() {
+    if (!is_owner_)
+        return;
+    const mono_time now = event_loop::now();
+    std::set<host_id> in_touch;
+    for (const auto& [host, member] : member_records_)
+        if (host == settings_.host || contacts_.in_touch(host, now))
+            in_touch.insert(host);
+    if (in_touch == hosts_in_touch_)
+        return;
+    for (const host_id& host : hosts_in_touch_)
+        if (!in_touch.contains(host))
+            log_event(log_level::info, "host_out_of_touch",
+                      {{"host", host.value}});
+    hosts_in_touch_ = std::move(in_touch);
+    callbacks_.members_changed();
+}
+
+void member_service::remove_gone_members() {
+    if (!is_owner_ || removal_pending_)
+        return;
+    const mono_time now = event_loop::now();
+    std::vector<keyed_record> tombstones;
+    for (const auto& [host, member] : member_records_) {
+        if (host == settings_.host || !contacts_.gone(host, now))
+            continue;
+        tombstones.push_back({.key = HOST_PREFIX + host.value});
+        log_event(log_level::info, "host_gone", {{"host", host.value}});
+    }
+    if (tombstones.empty())
+        return;
+    removal_pending_ = true;
+    store_.append({.topic = MEMBERS_TOPIC,
+                   .records = std::move(tombstones),
+                   .timeout = APPEND_TIMEOUT},
+                  [this](const append_answer&) {
+                      // The follower reports the removal. If the call failed,
+                      // the records are still there and it is repeated.
+                      loop_.after(REMOVAL_PERIOD,
+                                  [this] { removal_pending_ = false; });
+                  });
+}
+
 void member_service::handle_claim_record(const keyed_record& record) {
     try {
         if (record.key == OWNER_KEY)
@@ -186,16 +272,37 @@
     const host_id host{record.key.substr(HOST_PREFIX.size())};
     try {
         if (record.value.empty())
-            member_records_.erase(host);
-        else
-            member_records_[host] = dispatch::decode_member(record.value);
-        callbacks_.members_changed();
+            return drop_member(host);
+        member_records_[host] = dispatch::decode_member(record.value);
+        contacts_.registered(host, event_loop::now());
+        update_contacts();
     } catch (const decode_error& failure) {
         log_event(log_level::warning, "member_record_skipped",
                   {{"key", record.key}, {"cause", failure.what()}});
     }
 }
 
+void member_service::handle_members_loaded(const std::set<std::string>& keys) {
+    std::vector<host_id> dropped;
+    for (const auto& [host, member] : member_records_)
+        if (!keys.contains(HOST_PREFIX + host.value))
+            dropped.push_back(host);
+    for (const host_id& host : dropped)
+        drop_member(host);
+}
+
+void member_service::drop_member(const host_id& host) {
+    member_records_.erase(host);
+    contacts_.remove(host);
+    update_contacts();
+    // The owner may have removed the record of a host that it did not hear
+    // from, or the record was left by an earlier process that shut down.
+    if (host == settings_.host && !leaving_) {
+        log_event(log_level::info, "registers_again", {});
+        register_host();
+    }
+}
+
 void member_service::handle_owner_change(const owner_record& owner) {
     if (owner.epoch < owner_.epoch)
         return;
@@ -217,8 +324,13 @@
         is_owner_ = false;
         callbacks_.ownership_lost();
     }
+    // A heartbeat to an earlier owner may be pending until it times out.
+    heartbeat_pending_ = false;
+    loop_.defer([this] { send_heartbeat(); });
     if (own_claim && !is_owner_ && !leaving_) {
         is_owner_ = true;
+        contacts_.begin(event_loop::now());
+        hosts_in_touch_.clear();
         callbacks_.ownership_gained(owner.epoch);
     }
 }
@@ -293,8 +405,10 @@
     peer(owner_.address).reset_backoff();
     peer(owner_.address)
         .call(wire::method::BEAT, wire_encode(request), HEARTBEAT_TIMEOUT,
-              [this](const rpc_call_result& answer) {
-                  handle_heartbeat_reply(answer);
+              [this, epoch = owner_.epoch](const rpc_call_result& answer) {
+                  // A late result says nothing about the present owner.
+                  if (epoch == owner_.epoch)
+                      handle_heartbeat_reply(answer);
               });
 }
 
@@ -405,6 +519,11 @@
 
 void member_service::leave() {
     leaving_ = true;
+    // If this fails, the owner removes the record later.
+    store_.append({.topic = MEMBERS_TOPIC,
+                   .records = {{.key = HOST_PREFIX + settings_.host.value}},
+                   .timeout = APPEND_TIMEOUT},
+                  [](const append_answer&) {});
     if (!is_owner_)
         return;
     is_owner_ = false;
--- a/src/front/member_service.hpp
+++ b/src/front/member_service.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "dispatch/claim_func.hpp"
+#include "dispatch/contact_table.hpp"
 #include "dispatch/record_codec.hpp"
 #include "front/topic_follower.hpp"
 #include "net/rpc_client.hpp"
@@ -10,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 
 namespace rattan::front {
 
@@ -37,6 +39,7 @@
         std::function<void()> ownership_lost;
         /** The store has shown that nobody else had claimed by that time. */
         std::function<void(mono_time)> ownership_confirmed;
+        /** The result of `members_in_touch` has changed. */
         std::function<void()> members_changed;
     };
 
@@ -46,7 +49,10 @@
                    callbacks handlers);
 
     void start();
-    /** Releases ownership, if held, and makes no more claims. */
+    /**
+     * Removes the record of this host, releases ownership, if held, and makes
+     * no more claims.
+     */
     void leave();
     /** Ends the ownership after the store or a target has fenced it. */
     void handle_fenced();
@@ -71,11 +77,22 @@
      * 0 if this host is the owner.
      */
     [[nodiscard]] millis owner_reply_age() const;
-    /** All registered entry hosts. */
+    /**
+     * All registered entry hosts. Some may have been removed for good a short
+     * time ago.
+     */
     [[nodiscard]] const std::map<host_id, dispatch::member_record>&
     members() const {
         return member_records_;
     }
+    /**
+     * Registered hosts that have sent a heartbeat to this owner recently, and
+     * this host.
+     */
+    [[nodiscard]] std::map<host_id, dispatch::member_record>
+    members_in_touch() const;
+    /** Handles a heartbeat of another host. */
+    void handle_heartbeat(const host_id& host);
     /**
      * Addresses of hosts that can write for this one: the owner first, then
      * hosts of other data centres, then hosts of this data centre.
@@ -89,10 +106,17 @@
 
 private:
     void handle_member_record(const platform::keyed_record& record);
+    /** Drops hosts whose records are not in the loaded snapshot. */
+    void handle_members_loaded(const std::set<std::string>& keys);
+    void drop_member(const host_id& host);
     void handle_claim_record(const platform::keyed_record& record);
     void handle_owner_change(const dispatch::owner_record& owner);
     /** Registers this host in the store. */
     void register_host();
+    /** Reports a change of the hosts that are in touch. */
+    void update_contacts();
+    /** As the owner, removes the records of hosts that are gone. */
+    void remove_gone_members();
     /** Sends a heartbeat to the owner. */
     void send_heartbeat();
     void handle_heartbeat_reply(const rpc_call_result& answer);
@@ -118,8 +142,10 @@
     /** Last heartbeat reply of another host. */
     struct peer_state {
         mono_time answered_at{};
-        millis store_age{0}; ///< Since the store's answer to that host.
+        millis store_age{0};  ///< Since the store's answer to that host.
+        mono_time asked_at{}; ///< Last request of `send_peer_heartbeats`.
         bool request_pending = false;
+        bool unanswered = false; ///< That request has no answer so far.
     };
 
     event_loop& loop_;
@@ -131,6 +157,8 @@
     topic_follower member_follower_;
     topic_follower claim_follower_;
     std::map<host_id, dispatch::member_record> member_records_;
+    dispatch::contact_table contacts_; ///< While this host is the owner.
+    std::set<host_id> hosts_in_touch_; ///< As of the last callback.
     std::map<std::string, std::unique_ptr<rpc_client>> peers_;
     dispatch::owner_record owner_;
     mono_time owner_answered_at_{}; ///< Last reply of an owner with the store.
@@ -147,6 +175,9 @@
     int refused_connections_ = 0; ///< To the owner, in a row.
     bool is_owner_ = false;
     bool claim_pending_ = false;
+    bool registration_pending_ = false;
+    bool contacts_update_scheduled_ = false;
+    bool removal_pending_ = false; ///< Of the records of hosts that are gone.
     bool leaving_ = false;
     bool heartbeat_pending_ = false;
 };
--- a/src/front/owner_service.cpp
+++ b/src/front/owner_service.cpp
@@ -330,7 +330,7 @@
 
 void owner_service::update_hosts() {
     std::vector<host_id> hosts{context_.settings.host};
-    for (const auto& [host, member] : context_.members.members())
+    for (const auto& [host, member] : context_.members.members_in_touch())
         if (host != context_.settings.host)
             hosts.push_back(host);
     owner_.set_hosts(hosts);
--- a/src/front/owner_service.hpp
+++ b/src/front/owner_service.hpp
@@ -42,7 +42,7 @@
 
     void set_config(const dispatch::cell_config& config);
     void set_evacuated(const std::set<data_centre_id>& centres);
-    /** Passes the current entry hosts to the owner. */
+    /** Passes the entry hosts that are in touch to the owner. */
     void update_hosts();
     /** The store has shown that no other host had claimed by `at`. */
     void ownership_confirmed(mono_time at);
--- a/tests/advice_table_test.cpp
+++ b/tests/advice_table_test.cpp
@@ -61,3 +61,35 @@
     EXPECT_TRUE(table.has_host(QUICK_CALL, NOW));
     EXPECT_TRUE(table.has_host(SLOW_CALL, NOW));
 }
+
+// A host whose calls have no answer is idle all the time, so the rule for the
+// least busy host prefers it. Guards against giving it a call after each
+// back-off while other hosts have room.
+TEST(advice_table, host_without_answers_comes_after_busier_hosts) {
+    advice_table table = table_with_hosts(4);
+    mono_time now = NOW;
+    int lost_calls = 0;
+    for (int i = 0; i < 40; ++i) {
+        now += millis(500);
+        const auto host = table.acquire_host(SLOW_CALL, now);
+        ASSERT_TRUE(host);
+        const bool lost = *host == host_id{"host-2"};
+        lost_calls += lost ? 1 : 0;
+        table.release_host(*host, true, lost, now + SLOW_CALL);
+    }
+    EXPECT_LE(lost_calls, 1);
+}
+
+// Guards against shutting out a host whose call failed once: it is used when
+// the others are busy, and an answer ends its low rank.
+TEST(advice_table, host_whose_call_failed_is_used_again) {
+    advice_table table = table_with_hosts(2);
+    const auto first = table.acquire_host(QUICK_CALL, NOW);
+    ASSERT_TRUE(first);
+    table.release_host(*first, false, true, NOW);
+    const mono_time later = NOW + millis(2000);
+    int calls_of_first = 0;
+    while (const auto host = table.acquire_host(QUICK_CALL, later))
+        calls_of_first += *host == *first ? 1 : 0;
+    EXPECT_GT(calls_of_first, 0);
+}
--- a/tests/allocation_end_test.cpp
+++ b/tests/allocation_end_test.cpp
@@ -6,6 +6,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 using namespace rattan;
 using namespace rattan::dispatch;
 using namespace rattan::dispatch::testing;
