Members: an owner that lost the store removes no records

Cause: an owner that is cut off from the store and from most hosts counted these as gone after 10 s and sent a removal of their records every 1.5 s. The calls could be carried out seconds later, under the next owner, and remove records of hosts that are well, which then had to register again.

Change: records are removed only while the store answers.

--- a/src/front/member_service.cpp
+++ b/src/front/member_service.cpp
@@ -232,7 +232,7 @@
 }
 
 void member_service::remove_gone_members() {
-    if (!is_owner_ || removal_pending_)
+    if (!is_owner_ || removal_pending_ || store_unresponsive())
         return;
     const mono_time now = event_loop::now();
     std::vector<keyed_record> tombstones;
