Takeover: an owner that resigns hands over what it knows about leases

Cause: each new owner waited 7.0 s from its takeover for all leases that earlier owners may have granted (3 s until their confirmation ran out, the lease, the slowest clock and margins). That holds after a crash. An owner that resigns grants nothing afterwards, and it knows until when the leases of targets last that do not answer. When owners are stopped in turn, every one of them started the wait again, and tasks of lost targets ran nowhere until it was over.

Change: the record of a resignation states after which time all leases have ended and, for each target with runs that does not answer, when its leases have ended by the same rule that the resigning owner followed. Both count from the moment at which the next owner read the record, so delays only add to them. A target counts only with the same process. The resigning owner sends no order after it has computed them. After a crash, and for an owner that resigns before its takeover, the wait is as before.

In the test without a network 28 of 60 long-lived tasks ran after 6.5 s of such changes, now all; 60 histories with owners that resign or crash and targets that keep their runs, half with clocks 2 % slow, have no overlapping runs. That test fails if the margin is 0.7 s less, or if silent targets count as ended after 1.5 s; it does not notice 10 % less lease, which the margins cover.

--- a/src/dispatch/owner_base.cpp
+++ b/src/dispatch/owner_base.cpp
@@ -30,8 +30,6 @@
  * Ended jobs are kept slightly longer than the retention promised to callers.
  */
 constexpr millis RETENTION_MARGIN{5000};
-/** Added to the leases of earlier owners. */
-constexpr millis LEASE_MARGIN{200};
 /** Submissions of this many seconds may arrive as a burst. */
 constexpr double RATE_BURST_S = 1;
 constexpr double MS_PER_SECOND = 1000;
@@ -162,14 +160,7 @@
 }
 
 void owner::take_over(const owner_clock& clock) {
-    // An earlier owner may have granted leases until its confirmation ran out,
-    // and a target's clock may be slow.
-    const auto longest = static_cast<std::int64_t>(
-        static_cast<double>(
-            (settings_.max_unconfirmed + settings_.lease).count()) /
-        MIN_CLOCK_RATE);
-    inherited_leases_end_ =
-        clock.now + millis(longest) + settings_.stop_duration + LEASE_MARGIN;
+    inherited_leases_end_ = all_earlier_leases_end(clock);
     for (const job_id& id : live_jobs_) {
         job_entry& job = *jobs_.find(id);
         for (auto& [repeat_number, repeat] : job.repeats)
@@ -200,6 +191,7 @@
                          .tail_latency_target = spec.tail_latency_target});
                 }
     }
+    apply_handover();
     schedule_due_ = true;
 }
 
--- a/src/dispatch/owner_base.hpp
+++ b/src/dispatch/owner_base.hpp
@@ -3,11 +3,13 @@
 
 #include "dispatch/advice_table.hpp"
 #include "dispatch/job_table.hpp"
+#include "dispatch/lease_type.hpp"
 #include "dispatch/route_type.hpp"
 #include "dispatch/target_table.hpp"
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -134,6 +136,17 @@
      */
     void take_over(const owner_clock& clock);
 
+    /**
+     * Passes what the last owner stated when it resigned, before `take_over`.
+     */
+    void inherit_leases(lease_handover handover, mono_time received_at);
+
+    /**
+     * Ends the ownership; no order is sent from now on.
+     * @return What the next owner has to know; nothing before `take_over`.
+     */
+    std::optional<lease_handover> resign(const owner_clock& clock);
+
     /** Does all work that is due. */
     void tick(const owner_clock& clock);
 
@@ -245,6 +258,14 @@
     void expire_runs(target_state& target, const owner_clock& clock);
     void throttle_best_effort(target_state& target);
 
+    // owner_handover.cpp
+    /** When the leases of a target that earlier owners granted have ended. */
+    [[nodiscard]] mono_time
+    inherited_leases_end(const target_state& target) const;
+    [[nodiscard]] mono_time
+    all_earlier_leases_end(const owner_clock& clock) const;
+    void apply_handover();
+
     // owner_stop.cpp
     void stop_run(target_state& target, const task_id& task,
                   const owner_clock& clock);
@@ -295,6 +316,10 @@
     mono_time confirmed_at_{};
     /** All leases granted by earlier owners have ended by this time. */
     mono_time inherited_leases_end_{};
+    /** The same for targets that were silent before. */
+    std::map<target_id, mono_time> inherited_ends_;
+    std::optional<lease_handover> handover_;
+    mono_time handover_received_at_{};
     mono_time next_purge_{};
     /** Runs recorded by the pending `store` call; they start after it. */
     std::vector<std::pair<target_id, task_id>> runs_in_store_call_;
--- a/src/dispatch/owner_poll.cpp
+++ b/src/dispatch/owner_poll.cpp
@@ -372,7 +372,7 @@
             target, clock.now, LEASE_EXPIRY_MARGIN + settings_.stop_duration);
     for (const auto& [task, run] : target.runs) {
         if (run.phase == run_phase::inherited
-                ? clock.now >= inherited_leases_end_
+                ? clock.now >= inherited_leases_end(target)
                 : run.phase != run_phase::recording && leases_expired)
             gone.push_back(task);
     }
--- a/src/dispatch/record_codec.cpp
+++ b/src/dispatch/record_codec.cpp
@@ -15,6 +15,9 @@
  */
 constexpr millis RUNS_GONE_AFTER{30'000};
 
+/** Position of the leases in the record of an owner that has resigned. */
+constexpr std::size_t LEASES_FIELD = 4;
+
 /** Runs a decoder and converts its exceptions to `decode_error`. */
 template <typename Decode>
 auto decoding(const char* what, const std::string& text, Decode decode) {
@@ -181,17 +184,36 @@
 }
 
 std::string encode_owner(const owner_record& owner) {
-    return json::array(
-               {owner.epoch, owner.host, owner.address, owner.incarnation})
-        .dump();
+    json out = json::array(
+        {owner.epoch, owner.host, owner.address, owner.incarnation});
+    if (owner.leases) {
+        json silent = json::array();
+        for (const auto& row : owner.leases->silent)
+            silent.push_back(json::array(
+                {row.target, row.incarnation, row.remaining.count()}));
+        out.push_back(
+            json::array({owner.leases->remaining.count(), std::move(silent)}));
+    }
+    return out.dump();
 }
 
 owner_record decode_owner(const std::string& text) {
     return decoding("owner", text, [](const json& in) {
-        return owner_record{.epoch = in.at(0).get<std::int64_t>(),
-                            .host = in.at(1).get<host_id>(),
-                            .address = in.at(2).get<std::string>(),
-                            .incarnation = in.at(3).get<std::int64_t>()};
+        owner_record out{.epoch = in.at(0).get<std::int64_t>(),
+                         .host = in.at(1).get<host_id>(),
+                         .address = in.at(2).get<std::string>(),
+                         .incarnation = in.at(3).get<std::int64_t>()};
+        if (in.size() <= LEASES_FIELD)
+            return out;
+        const json& leases = in.at(LEASES_FIELD);
+        out.leases.emplace().remaining =
+            millis(leases.at(0).get<std::int64_t>());
+        for (const json& row : leases.at(1))
+            out.leases->silent.push_back(
+                {.target = row.at(0).get<target_id>(),
+                 .incarnation = row.at(1).get<std::int64_t>(),
+                 .remaining = millis(row.at(2).get<std::int64_t>())});
+        return out;
     });
 }
 
--- a/src/dispatch/record_codec.hpp
+++ b/src/dispatch/record_codec.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "dispatch/job_table.hpp"
+#include "dispatch/lease_type.hpp"
 
 #include <optional>
 #include <string>
@@ -45,6 +46,8 @@
     std::string address; ///< For calls to the owner; empty: it has resigned.
     /** Distinguishes successive processes of one host. */
     std::int64_t incarnation = 0;
+    /** Of an owner that has resigned. */
+    std::optional<lease_handover> leases;
 };
 
 /** An entry host of the cell. */
--- a/src/dispatch/target_table.cpp
+++ b/src/dispatch/target_table.cpp
@@ -58,6 +58,7 @@
                              mono_time now) {
     if (clock_ms <= 0)
         return;
+    target.answered = true;
     target.clock_ms = clock_ms;
     target.clock_received_at = now;
 }
--- a/src/dispatch/target_table.hpp
+++ b/src/dispatch/target_table.hpp
@@ -56,6 +56,7 @@
     std::int64_t best_effort_milli_cores = 0;
 
     std::int64_t clock_ms = 0; ///< The target's clock as of its last answer.
+    bool answered = false;     ///< Any process of the target has answered.
     mono_time clock_received_at{}; ///< Local time of that answer.
     std::int64_t lease_end_ms = 0; ///< Latest end of a lease in any order sent.
 
--- a/src/front/front_service.cpp
+++ b/src/front/front_service.cpp
@@ -79,6 +79,8 @@
                         owner_->set_evacuated(evacuated_);
                         owner_->update_hosts();
                     },
+                .resigning =
+                    [this] { return owner_ ? owner_->resign() : std::nullopt; },
                 .ownership_lost =
                     [this] {
                         // Deferred: a callback of the owner may be running.
--- a/src/front/member_service.cpp
+++ b/src/front/member_service.cpp
@@ -307,6 +307,12 @@
     if (owner.epoch < owner_.epoch)
         return;
     const bool same_epoch = owner.epoch == owner_.epoch;
+    if (!same_epoch) {
+        handover_.reset();
+        if (owner_.leases && owner.epoch == owner_.epoch + 1)
+            handover_ = received_handover{.leases = *owner_.leases,
+                                          .received_at = owner_changed_at_};
+    }
     owner_ = owner;
     const bool own_claim = owner.host == settings_.host &&
                            owner.incarnation == incarnation_ &&
@@ -480,7 +486,7 @@
     if (!dispatch::claim_due(view))
         return;
     if (dispatch::resigns_instead(view))
-        append_resignation();
+        append_resignation(std::nullopt);
     else
         append_claim();
 }
@@ -527,16 +533,19 @@
     if (!is_owner_)
         return;
     is_owner_ = false;
+    auto leases = callbacks_.resigning();
     callbacks_.ownership_lost();
-    append_resignation();
+    append_resignation(std::move(leases));
 }
 
-void member_service::append_resignation() {
+void member_service::append_resignation(
+    std::optional<dispatch::lease_handover> leases) {
     claim_pending_ = true;
     const owner_record resignation{.epoch = owner_.epoch,
                                    .host = settings_.host,
                                    .address = "",
-                                   .incarnation = incarnation_};
+                                   .incarnation = incarnation_,
+                                   .leases = std::move(leases)};
     store_.append({.topic = CLAIMS_TOPIC,
                    .records = {{.key = OWNER_KEY,
                                 .value = dispatch::encode_owner(resignation)}},
--- a/src/front/member_service.hpp
+++ b/src/front/member_service.hpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 
 namespace rattan::front {
@@ -35,6 +36,11 @@
     struct callbacks {
         /** This process owns the cell from now on. */
         std::function<void(std::int64_t epoch)> ownership_gained;
+        /**
+         * This process is about to resign and sends no more orders.
+         * @return What the next owner has to know.
+         */
+        std::function<std::optional<dispatch::lease_handover>()> resigning;
         /** This process does not own the cell any more. */
         std::function<void()> ownership_lost;
         /** The store has shown that nobody else had claimed by that time. */
@@ -91,6 +97,15 @@
      */
     [[nodiscard]] std::map<host_id, dispatch::member_record>
     members_in_touch() const;
+    /** What an owner stated when it resigned, and when this was read. */
+    struct received_handover {
+        dispatch::lease_handover leases;
+        mono_time received_at{};
+    };
+    /** From the last owner, if this host is the next one. */
+    [[nodiscard]] const std::optional<received_handover>& handover() const {
+        return handover_;
+    }
     /** Handles a heartbeat of another host. */
     void handle_heartbeat(const host_id& host);
     /**
@@ -131,7 +146,7 @@
     void claim_if_due();
     void append_claim();
     /** Records that the cell has no owner. */
-    void append_resignation();
+    void append_resignation(std::optional<dispatch::lease_handover> leases);
     /** Number of hosts that claim before this one. */
     [[nodiscard]] std::int64_t claim_rank() const;
     /** CPU capacity of the strongest host. */
@@ -161,6 +176,7 @@
     std::set<host_id> hosts_in_touch_; ///< As of the last callback.
     std::map<std::string, std::unique_ptr<rpc_client>> peers_;
     dispatch::owner_record owner_;
+    std::optional<received_handover> handover_;
     mono_time owner_answered_at_{}; ///< Last reply of an owner with the store.
     mono_time owner_replied_at_{};
     bool owner_lost_store_ = false; ///< According to its last reply.
--- a/src/front/owner_service.cpp
+++ b/src/front/owner_service.cpp
@@ -104,6 +104,8 @@
       progress_partitions_to_load_(progress_writer_.partition_count()),
       start_timeout_(MIN_START_TIMEOUT, MAX_START_TIMEOUT),
       last_total_suspended_(total_suspended_time()) {
+    if (const auto& handover = context_.members.handover())
+        owner_.inherit_leases(handover->leases, handover->received_at);
     follow_jobs();
     target_follower_ = std::make_unique<topic_follower>(
         context_.loop, context_.store,
--- a/src/front/owner_service.hpp
+++ b/src/front/owner_service.hpp
@@ -10,6 +10,7 @@
 #include "platform/target_client.hpp"
 
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -42,6 +43,10 @@
 
     void set_config(const dispatch::cell_config& config);
     void set_evacuated(const std::set<data_centre_id>& centres);
+    /** Ends the ownership; no order is sent from now on. */
+    std::optional<dispatch::lease_handover> resign() {
+        return owner_.resign(clock());
+    }
     /** Passes the entry hosts that are in touch to the owner. */
     void update_hosts();
     /** The store has shown that no other host had claimed by `at`. */
--- a/tests/dispatch_world.cpp
+++ b/tests/dispatch_world.cpp
@@ -241,9 +241,8 @@
                                    bool answer_arrives) {
     const int index = index_of(address.id);
     fake_target& target = targets_[static_cast<size_t>(index)];
-    order_answer answer{.answered = true,
-                        .sent = true,
-                        .clock_ms = now_ + CLOCK_OFFSET_STEP * (index + 1)};
+    order_answer answer{
+        .answered = true, .sent = true, .clock_ms = target_clock_ms(index)};
     const step_spec& spec =
         accepted_.at(order.task.step.job)
             .spec.steps[static_cast<size_t>(order.task.step.step)];
@@ -261,9 +260,11 @@
             used += run.demand;
         if (!used.fits_in(target.entry.capacity))
             ++overcommitted_starts_;
-        for (const fake_target& other : targets_)
+        for (fake_target& other : targets_) {
+            expire_leases(other);
             if (other.runs.contains(order.task))
                 ++overlapping_runs_;
+        }
         const millis takes =
             target.failing
                 ? millis(20)
@@ -330,7 +331,7 @@
 
 void simulated_cell::expire_leases(fake_target& target) {
     const int index = index_of(target.entry.id);
-    if (now_ + CLOCK_OFFSET_STEP * (index + 1) <= target.lease_end_ms)
+    if (target_clock_ms(index) <= target.lease_end_ms)
         return;
     while (!target.runs.empty())
         end_run(target, target.runs.begin()->first, run_end::lease_expired);
@@ -393,13 +394,12 @@
     const fake_target& target = targets_[static_cast<size_t>(index)];
     if (target.silent)
         return time_out_poll(index, order, sent_at);
-    poll_answer answer{
-        .order = {.answered = true,
-                  .sent = true,
-                  .done = true,
-                  .clock_ms = now_ + CLOCK_OFFSET_STEP * (index + 1)},
-        .concurrent = order.concurrent,
-        .incarnation = target.entry.incarnation};
+    poll_answer answer{.order = {.answered = true,
+                                 .sent = true,
+                                 .done = true,
+                                 .clock_ms = target_clock_ms(index)},
+                       .concurrent = order.concurrent,
+                       .incarnation = target.entry.incarnation};
     for (const auto& [task, run] : target.runs)
         answer.running.push_back(
             {.task = task,
@@ -473,7 +473,21 @@
         flush_store();
 }
 
+std::int64_t simulated_cell::target_clock_ms(int target) const {
+    return CLOCK_OFFSET_STEP * (target + 1) +
+           static_cast<std::int64_t>(static_cast<double>(now_) *
+                                     options_.target_clock_rate);
+}
+
 void simulated_cell::restart_owner() {
+    begin_ownership(std::nullopt);
+}
+
+void simulated_cell::hand_over() {
+    begin_ownership(owner_->resign(clock()));
+}
+
+void simulated_cell::begin_ownership(std::optional<lease_handover> handover) {
     ++epoch_;
     pending_appends_.clear();
     owner_settings settings;
@@ -501,6 +515,11 @@
         }
         owner_->restore_job(std::move(job), clock());
     }
+    if (handover) {
+        const std::string record =
+            encode_owner({.epoch = epoch_ - 1, .leases = std::move(handover)});
+        owner_->inherit_leases(*decode_owner(record).leases, clock().now);
+    }
     owner_->take_over(clock());
     schedule_tick();
 }
--- a/tests/dispatch_world.hpp
+++ b/tests/dispatch_world.hpp
@@ -23,6 +23,8 @@
     int hosts = 6;            ///< Hosts that call the advice service.
     millis append_latency{8}; ///< Round trip of an append.
     millis order_latency{3};  ///< Round trip of an order.
+    /** Rate of the targets' clocks. */
+    double target_clock_rate = 1;
     /** Standard deviation of the logarithm of actual duration over estimate. */
     double estimate_error = 0;
 };
@@ -104,6 +106,8 @@
     void ignore_stops(bool ignore) { ignore_stops_ = ignore; }
     /** A new owner takes over with the records in the store. */
     void restart_owner();
+    /** The owner resigns and another one takes over. */
+    void hand_over();
     void set_store_down(bool down);
     /** Deletes all records of a job; its runs continue. */
     void delete_job(const job_id& job) {
@@ -201,6 +205,8 @@
     void send_poll_answer(int target, const poll_order& order,
                           mono_time sent_at);
     void expire_leases(fake_target& target);
+    [[nodiscard]] std::int64_t target_clock_ms(int target) const;
+    void begin_ownership(std::optional<lease_handover> handover);
     /** Tells the owner, when the poll's timeout has passed, of no answer. */
     void time_out_poll(int target, const poll_order& order, mono_time sent_at);
     int index_of(const target_id& id) const;
