Owner: log runs that outlive all leases

Cause: the log could not tell why a step with room is not started: a run that is kept on a target that does not answer leaves no line, and neither does a target that never answered the owner.

Change: every 5 s the owner logs `run_overdue` for runs on silent targets whose last change is 12 s ago, with task, run, target, phase, the target's clock and whether it is listed; at most 20 lines. No decision changes.

--- a/src/dispatch/owner_base.cpp
+++ b/src/dispatch/owner_base.cpp
@@ -212,6 +212,7 @@
         return;
     next_purge_ = clock.now + PURGE_PERIOD;
     targets_.remove_delisted();
+    log_overdue_runs(clock);
     const std::int64_t cutoff_ms =
         clock.wall_ms - (settings_.state_retention + RETENTION_MARGIN).count();
     std::vector<job_id> expired;
--- a/src/dispatch/owner_base.hpp
+++ b/src/dispatch/owner_base.hpp
@@ -266,6 +266,10 @@
     all_earlier_leases_end(const owner_clock& clock) const;
     void apply_handover();
 
+    // owner_overdue.cpp
+    /** Logs runs that a silent target should have ended long ago. */
+    void log_overdue_runs(const owner_clock& clock);
+
     // owner_stop.cpp
     void stop_run(target_state& target, const task_id& task,
                   const owner_clock& clock);
@@ -321,6 +325,7 @@
     std::optional<lease_handover> handover_;
     mono_time handover_received_at_{};
     mono_time next_purge_{};
+    mono_time next_overdue_log_{};
     /** Runs recorded by the pending `store` call; they start after it. */
     std::vector<std::pair<target_id, task_id>> runs_in_store_call_;
     /** Runs that the next `store` call will record. */
