Tests: a stop on a target that has left the list has to end

The gang whose member and owner are lost at once is played with a target that is still listed and with one that has left, of which the new owner has no address.

--- a/tests/allocation_end_test.cpp
+++ b/tests/allocation_end_test.cpp
@@ -130,28 +130,46 @@
 
 } // namespace
 
-// A target of a gang and the owner are lost at once. The other members tell the
-// new owner that the gang is broken, and it orders the stop of the lost member
-// on a target that never answers it. Guards against a stop that lasts for ever.
-TEST(allocation_end, stop_on_target_that_never_answered_the_owner_ends) {
-    for (std::uint32_t seed = 1; seed <= 4; ++seed) {
-        constexpr int TARGETS = 16;
-        auto cell = make_cell(seed, TARGETS);
-        const job_id job =
-            cell->submit("checks", "a", gang_job(6, millis(60'000)));
-        cell->run_until(millis(4000));
-        ASSERT_EQ(cell->runs_of(job), 6U);
-        const std::vector<int> used = targets_of(*cell, job, TARGETS);
-        ASSERT_GT(used.size(), 1U);
-        cell->lose_target(used.front());
-        cell->break_gangs(job);
-        cell->restart_owner();
-        cell->run_until(millis(4000) + DELISTING_TIME);
+namespace {
+
+/**
+ * A target of a gang and the owner are lost at once. The other members tell the
+ * new owner that the gang is broken, and it orders the stop of the lost member
+ * on a target that never answers it.
+ * @param listed The target is in the platform's list when the owner changes.
+ */
+void lose_gang_member_and_owner(std::uint32_t seed, bool listed) {
+    constexpr int TARGETS = 16;
+    auto cell = make_cell(seed, TARGETS);
+    const job_id job = cell->submit("checks", "a", gang_job(6, millis(60'000)));
+    cell->run_until(millis(4000));
+    ASSERT_EQ(cell->runs_of(job), 6U);
+    const std::vector<int> used = targets_of(*cell, job, TARGETS);
+    ASSERT_GT(used.size(), 1U);
+    cell->lose_target(used.front());
+    cell->break_gangs(job);
+    if (!listed)
         cell->set_listed(used.front(), false);
-        cell->run_until(millis(4000) + DELISTING_TIME + SETTLING_TIME);
-        expect_settled(*cell, seed);
-        EXPECT_EQ(cell->runs_of(job), 6U) << "seed " << seed;
-    }
+    cell->restart_owner();
+    cell->run_until(millis(4000) + DELISTING_TIME);
+    cell->set_listed(used.front(), false);
+    cell->run_until(millis(4000) + DELISTING_TIME + SETTLING_TIME);
+    expect_settled(*cell, seed);
+    EXPECT_EQ(cell->runs_of(job), 6U) << "seed " << seed;
+}
+
+} // namespace
+
+// Guards against a stop that lasts for ever.
+TEST(allocation_end, stop_on_target_that_never_answered_the_owner_ends) {
+    for (std::uint32_t seed = 1; seed <= 4; ++seed)
+        lose_gang_member_and_owner(seed, true);
+}
+
+// The same if the target has left the list, so the owner has no address of it.
+TEST(allocation_end, stop_on_target_without_address_ends) {
+    for (std::uint32_t seed = 1; seed <= 4; ++seed)
+        lose_gang_member_and_owner(seed, false);
 }
 
 // A start order has no answer. Its target restarts under its id and is lost for
