Members: process test of records that are removed; overdue runs by last answer

Change: a test with three processes and a stand-in store checks that a stopped host removes its record, that the owner removes that of a killed host, and that a host without a record registers again.

Measured: the test takes 11 s; without the owner's removals it fails while it waits for the second removal.

--- a/src/dispatch/owner_overdue.cpp
+++ b/src/dispatch/owner_overdue.cpp
@@ -1,6 +1,8 @@
 /** @file Log of runs that hold room although their leases must have ended. */
 #include "dispatch/owner_base.hpp"
 
+#include <algorithm>
+
 namespace rattan::dispatch {
 
 namespace {
@@ -37,7 +39,8 @@
         if (target.responsive)
             continue;
         for (const auto& [task, run] : target.runs) {
-            const millis age = clock.now - run.phase_since;
+            const millis age =
+                clock.now - std::max(run.phase_since, target.clock_received_at);
             if (age < OVERDUE_AGE || ++lines > MAX_LINES)
                 continue;
             output_.log("run_overdue", task.step.job,
--- a/tests/process_front_test.cpp
+++ b/tests/process_front_test.cpp
@@ -10,6 +10,7 @@
 #include <fstream>
 #include <functional>
 #include <map>
+#include <set>
 #include <sys/prctl.h>
 #include <sys/wait.h>
 #include <thread>
@@ -400,3 +401,51 @@
     EXPECT_TRUE(WIFEXITED(status));
     EXPECT_EQ(WEXITSTATUS(status), 0);
 }
+
+// Records of hosts stayed in the store for ever, and removed hosts got calls
+// for advice. A host that shuts down removes its own record, the owner removes
+// that of a killed host, and a host that is alive and finds no record of its
+// own registers again.
+TEST_F(front_process_test, records_of_hosts_that_are_gone_are_removed) {
+    const std::string topic_query = "?topic=keyed.members&part=0";
+    const auto registered = [&] {
+        const json page =
+            send_http_request({.url = "http://" + network_prefix_ +
+                                      "100:21000/-/log-newest" + topic_query})
+                .json();
+        std::set<std::string> hosts;
+        for (const json& item : page.value("items", json::array()))
+            hosts.insert(item.value("key", ""));
+        return hosts;
+    };
+    wait_for("three records", [&] { return registered().size() == 3; });
+    const int owner = owner_host();
+    ASSERT_GT(owner, 0);
+    const int leaving = 1 + owner % 3;
+    const int killed = 1 + leaving % 3;
+    const std::string owner_key = "host/h" + std::to_string(owner);
+    const std::string killed_key = "host/h" + std::to_string(killed);
+
+    kill(hosts_.at(leaving), SIGTERM);
+    wait_for("the removal of the record of the stopped host", [&] {
+        return registered() == std::set<std::string>{owner_key, killed_key};
+    });
+    kill_process(hosts_.at(leaving));
+    kill_process(hosts_.at(killed));
+    hosts_.erase(leaving);
+    hosts_.erase(killed);
+    wait_for("the removal of the record of the killed host",
+             [&] { return registered() == std::set<std::string>{owner_key}; });
+
+    std::string tombstone{'\0', '\0', '\0',
+                          static_cast<char>(owner_key.size() + 1),
+                          static_cast<char>(owner_key.size())};
+    ASSERT_EQ(send_http_request({.method = "POST",
+                                 .url = "http://" + network_prefix_ +
+                                        "100:21000/-/log-append" + topic_query,
+                                 .body = tombstone + owner_key})
+                  .status,
+              200);
+    wait_for("the host to register again",
+             [&] { return registered() == std::set<std::string>{owner_key}; });
+}
