--- a/src/dispatch/owner_base.hpp
+++ b/src/dispatch/owner_base.hpp
@@ -4,6 +4,7 @@
 #include "dispatch/advice_table.hpp"
 #include "dispatch/crash_suspects.hpp"
 #include "dispatch/job_table.hpp"
+#include "dispatch/lease_type.hpp"
 #include "dispatch/route_type.hpp"
 #include "dispatch/target_table.hpp"
 
@@ -155,6 +156,17 @@
      */
     void take_over(const owner_clock& clock);
 
+    /**
+     * Passes what the last owner stated when it resigned, before `take_over`.
+     */
+    void inherit_leases(lease_handover handover, mono_time received_at);
+
+    /**
+     * Ends the ownership; no order is sent from now on.
+     * @return What the next owner has to know; nothing before `take_over`.
+     */
+    std::optional<lease_handover> resign(const owner_clock& clock);
+
     /** Does all work that is due. */
     void tick(const owner_clock& clock);
 
@@ -299,6 +311,18 @@
     void throttle_best_effort(target_state& target);
     void send_speed(target_state& target, const task_id& task, run_entry& run);
 
+    // owner_handover.cpp
+    /** When the leases of a target that earlier owners granted have ended. */
+    [[nodiscard]] mono_time
+    inherited_leases_end(const target_state& target) const;
+    [[nodiscard]] mono_time
+    all_earlier_leases_end(const owner_clock& clock) const;
+    void apply_handover();
+
+    // owner_overdue.cpp
+    /** Logs runs that a silent target should have ended long ago. */
+    void log_overdue_runs(const owner_clock& clock);
+
     // owner_stop.cpp
     void stop_run(target_state& target, const task_id& task,
                   const owner_clock& clock);
@@ -360,7 +384,12 @@
     mono_time confirmed_at_{};
     /** All leases granted by earlier owners have ended by this time. */
     mono_time inherited_leases_end_{};
+    /** The same for targets that were silent before. */
+    std::map<target_id, mono_time> inherited_ends_;
+    std::optional<lease_handover> handover_;
+    mono_time handover_received_at_{};
     mono_time next_purge_{};
+    mono_time next_overdue_log_{};
     /** Runs recorded by the pending `store` call; they start after it. */
     std::vector<std::pair<target_id, task_id>> runs_in_store_call_;
     /** Runs that the next `store` call will record. */
--- a/src/dispatch/owner_poll.cpp
+++ b/src/dispatch/owner_poll.cpp
@@ -514,7 +514,8 @@
     // an earlier owner, local time decides.
     if (run.phase == run_phase::inherited || target.clock_ms == 0 ||
         target.restart_suspected != mono_time{})
-        return now >= inherited_leases_end_ && now >= target.all_leases_end;
+        return now >= inherited_leases_end(target) &&
+               now >= target.all_leases_end;
     return target_table::leases_expired(
         target, now, LEASE_EXPIRY_MARGIN + settings_.stop_duration);
 }
--- a/src/dispatch/record_codec.cpp
+++ b/src/dispatch/record_codec.cpp
@@ -57,6 +57,8 @@
                            std::to_string(MAX_PORT));
     return address;
 }
+/** Position of the leases in the record of an owner that has resigned. */
+constexpr std::size_t LEASES_FIELD = 4;
 
 /** Runs a decoder and converts its exceptions to `decode_error`. */
 template <typename Decode>
@@ -308,17 +310,36 @@
 }
 
 std::string encode_owner(const owner_record& owner) {
-    return json::array(
-               {owner.epoch, owner.host, owner.address, owner.incarnation})
-        .dump();
+    json out = json::array(
+        {owner.epoch, owner.host, owner.address, owner.incarnation});
+    if (owner.leases) {
+        json silent = json::array();
+        for (const auto& row : owner.leases->silent)
+            silent.push_back(json::array(
+                {row.target, row.incarnation, row.remaining.count()}));
+        out.push_back(
+            json::array({owner.leases->remaining.count(), std::move(silent)}));
+    }
+    return out.dump();
 }
 
 owner_record decode_owner(const std::string& text) {
     return decoding("owner", text, [](const json& in) {
-        return owner_record{.epoch = integer_at(in, 0, MAX_INTEGER),
-                            .host = in.at(1).get<host_id>(),
-                            .address = address_at(in, 2, true),
-                            .incarnation = integer_at(in, 3, MAX_INTEGER)};
+        owner_record out{.epoch = integer_at(in, 0, MAX_INTEGER),
+                         .host = in.at(1).get<host_id>(),
+                         .address = address_at(in, 2, true),
+                         .incarnation = integer_at(in, 3, MAX_INTEGER)};
+        if (in.size() <= LEASES_FIELD)
+            return out;
+        const json& leases = in.at(LEASES_FIELD);
+        out.leases.emplace().remaining =
+            millis(integer_at(leases, 0, MAX_INTEGER));
+        for (const json& row : leases.at(1))
+            out.leases->silent.push_back(
+                {.target = row.at(0).get<target_id>(),
+                 .incarnation = integer_at(row, 1, MAX_INTEGER),
+                 .remaining = millis(integer_at(row, 2, MAX_INTEGER))});
+        return out;
     });
 }
 
--- a/src/front/member_service.hpp
+++ b/src/front/member_service.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "dispatch/claim_func.hpp"
+#include "dispatch/contact_table.hpp"
 #include "dispatch/record_codec.hpp"
 #include "front/topic_follower.hpp"
 #include "net/rpc_client.hpp"
@@ -10,6 +11,8 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 
 namespace rattan::front {
 
@@ -33,10 +36,16 @@
     struct callbacks {
         /** This process owns the cell from now on. */
         std::function<void(std::int64_t epoch)> ownership_gained;
+        /**
+         * This process is about to resign and sends no more orders.
+         * @return What the next owner has to know.
+         */
+        std::function<std::optional<dispatch::lease_handover>()> resigning;
         /** This process does not own the cell any more. */
         std::function<void()> ownership_lost;
         /** The store has shown that nobody else had claimed by that time. */
         std::function<void(mono_time)> ownership_confirmed;
+        /** The result of `members_in_touch` has changed. */
         std::function<void()> members_changed;
     };
 
@@ -46,7 +55,10 @@
                    callbacks handlers);
 
     void start();
-    /** Releases ownership, if held, and makes no more claims. */
+    /**
+     * Removes the record of this host, releases ownership, if held, and makes
+     * no more claims.
+     */
     void leave();
     /** Ends the ownership after the store or a target has fenced it. */
     void handle_fenced();
@@ -71,11 +83,31 @@
      * 0 if this host is the owner.
      */
     [[nodiscard]] millis owner_reply_age() const;
-    /** All registered entry hosts. */
+    /**
+     * All registered entry hosts. Some may have been removed for good a short
+     * time ago.
+     */
     [[nodiscard]] const std::map<host_id, dispatch::member_record>&
     members() const {
         return member_records_;
     }
+    /**
+     * Registered hosts that have sent a heartbeat to this owner recently, and
+     * this host.
+     */
+    [[nodiscard]] std::map<host_id, dispatch::member_record>
+    members_in_touch() const;
+    /** What an owner stated when it resigned, and when this was read. */
+    struct received_handover {
+        dispatch::lease_handover leases;
+        mono_time received_at{};
+    };
+    /** From the last owner, if this host is the next one. */
+    [[nodiscard]] const std::optional<received_handover>& handover() const {
+        return handover_;
+    }
+    /** Handles a heartbeat of another host. */
+    void handle_heartbeat(const host_id& host);
     /**
      * Addresses of hosts that can write for this one: the owner first, then
      * hosts of other data centres, then hosts of this data centre.
@@ -89,10 +121,17 @@
 
 private:
     void handle_member_record(const platform::keyed_record& record);
+    /** Drops hosts whose records are not in the loaded snapshot. */
+    void handle_members_loaded(const std::set<std::string>& keys);
+    void drop_member(const host_id& host);
     void handle_claim_record(const platform::keyed_record& record);
     void handle_owner_change(const dispatch::owner_record& owner);
     /** Registers this host in the store. */
     void register_host();
+    /** Reports a change of the hosts that are in touch. */
+    void update_contacts();
+    /** As the owner, removes the records of hosts that are gone. */
+    void remove_gone_members();
     /** Sends a heartbeat to the owner. */
     void send_heartbeat();
     void handle_heartbeat_reply(const rpc_call_result& answer);
@@ -107,7 +146,7 @@
     void claim_if_due();
     void append_claim();
     /** Records that the cell has no owner. */
-    void append_resignation();
+    void append_resignation(std::optional<dispatch::lease_handover> leases);
     /** Number of hosts that claim before this one. */
     [[nodiscard]] std::int64_t claim_rank() const;
     /** CPU capacity of the strongest host. */
@@ -118,8 +157,10 @@
     /** Last heartbeat reply of another host. */
     struct peer_state {
         mono_time answered_at{};
-        millis store_age{0}; ///< Since the store's answer to that host.
+        millis store_age{0};  ///< Since the store's answer to that host.
+        mono_time asked_at{}; ///< Last request of `send_peer_heartbeats`.
         bool request_pending = false;
+        bool unanswered = false; ///< That request has no answer so far.
     };
 
     event_loop& loop_;
@@ -131,8 +172,11 @@
     topic_follower member_follower_;
     topic_follower claim_follower_;
     std::map<host_id, dispatch::member_record> member_records_;
+    dispatch::contact_table contacts_; ///< While this host is the owner.
+    std::set<host_id> hosts_in_touch_; ///< As of the last callback.
     std::map<std::string, std::unique_ptr<rpc_client>> peers_;
     dispatch::owner_record owner_;
+    std::optional<received_handover> handover_;
     mono_time owner_answered_at_{}; ///< Last reply of an owner with the store.
     mono_time owner_replied_at_{};
     bool owner_lost_store_ = false; ///< According to its last reply.
@@ -147,6 +191,9 @@
     int refused_connections_ = 0; ///< To the owner, in a row.
     bool is_owner_ = false;
     bool claim_pending_ = false;
+    bool registration_pending_ = false;
+    bool contacts_update_scheduled_ = false;
+    bool removal_pending_ = false; ///< Of the records of hosts that are gone.
     bool leaving_ = false;
     bool heartbeat_pending_ = false;
 };
--- a/tests/dispatch_stored_test.cpp
+++ b/tests/dispatch_stored_test.cpp
@@ -63,7 +63,7 @@
     cell->run_until(millis(2000));
     cell->set_store_down(true);
     cell->run_until(millis(2100));
-    cell->owner_under_test().job_cancelled(job, cell->clock());
+    cell->owner_under_test().job_cancelled(job, {"a"}, cell->clock());
     EXPECT_EQ(cell->owner_under_test().state_of(job, ORGANISATION),
               job_state::cancelled);
     cell->run_until(millis(140'000));
--- a/tests/dispatch_world.cpp
+++ b/tests/dispatch_world.cpp
@@ -282,12 +282,14 @@
             used += run.demand;
         if (!used.fits_in(target.entry.capacity))
             ++overcommitted_starts_;
-        for (const fake_target& other : targets_)
-            if (other.runs.contains(order.task)) {
-                ++overlapping_runs_;
-                if (clock_of(other) <= other.lease_end_ms)
-                    ++overlapping_held_runs_;
-            }
+        for (fake_target& other : targets_) {
+            expire_leases(other);
+            if (!other.runs.contains(order.task))
+                continue;
+            ++overlapping_runs_;
+            if (clock_of(other) <= other.lease_end_ms)
+                ++overlapping_held_runs_;
+        }
         const millis takes =
             target.failing
                 ? millis(20)
@@ -394,7 +396,9 @@
 void simulated_cell::expire_leases(fake_target& target) {
     if (clock_of(target) <= target.lease_end_ms)
         return;
-    target.lapsed_at = target.lease_end_ms - target.clock_offset;
+    target.lapsed_at = static_cast<std::int64_t>(
+        static_cast<double>(target.lease_end_ms - target.clock_offset) /
+        options_.target_clock_rate);
     while (!target.runs.empty())
         end_run(target, target.runs.begin()->first, run_end::lease_expired);
 }
@@ -485,6 +489,10 @@
                                       mono_time sent_at) {
     const int index = index_of(id);
     const fake_target& target = targets_[static_cast<size_t>(index)];
+    if (target.silent)
+        return fail_poll(id, order, sent_at,
+                         std::max(millis(0), sent_at.time_since_epoch() +
+                                                 order.timeout - millis(now_)));
     poll_answer answer{.order = {.answered = true,
                                  .sent = true,
                                  .done = true,
@@ -575,6 +583,14 @@
 }
 
 void simulated_cell::restart_owner() {
+    begin_ownership(std::nullopt);
+}
+
+void simulated_cell::hand_over() {
+    begin_ownership(owner_->resign(clock()));
+}
+
+void simulated_cell::begin_ownership(std::optional<lease_handover> handover) {
     ++epoch_;
     pending_appends_.clear();
     owner_settings settings;
@@ -602,6 +618,11 @@
         }
         owner_->restore_job(std::move(job), clock());
     }
+    if (handover) {
+        const std::string record =
+            encode_owner({.epoch = epoch_ - 1, .leases = std::move(handover)});
+        owner_->inherit_leases(*decode_owner(record).leases, clock().now);
+    }
     owner_->take_over(clock());
     schedule_tick();
 }
@@ -616,11 +637,16 @@
     targets_[static_cast<size_t>(target)].silent = silent;
 }
 
+void simulated_cell::replace_process(int target, std::int64_t difference) {
+    fake_target& replaced = targets_[static_cast<size_t>(target)];
+    reset(replaced);
+    replaced.entry.incarnation += difference;
+    ++replaced.lives;
+}
+
 void simulated_cell::restart_target(int target, std::int64_t difference) {
+    replace_process(target, difference);
     fake_target& restarted = targets_[static_cast<size_t>(target)];
-    reset(restarted);
-    restarted.entry.incarnation += difference;
-    ++restarted.lives;
     if (restarted.pending_poll)
         std::exchange(restarted.pending_poll, nullptr)();
     after(options_.list_delay, [this, target] { list_target(target); });
@@ -655,7 +681,7 @@
     target.fencing_token = 0;
     target.lease_end_ms = 0;
     target.lapsed_at = -1;
-    target.clock_offset = -now_;
+    target.clock_offset = -local_time();
     target.stopped_runs.clear();
 }
 
@@ -717,6 +743,33 @@
     return -1;
 }
 
+void simulated_cell::lose_target(int target) {
+    replace_process(target, 1);
+    targets_[static_cast<size_t>(target)].pending_poll = nullptr;
+    set_silent(target, true);
+}
+
+void simulated_cell::set_listed(int target, bool listed) {
+    if (listed)
+        list_target(target);
+    else
+        delist_target(target);
+}
+
+void simulated_cell::break_gangs(const job_id& job) {
+    for (fake_target& target : targets_) {
+        std::vector<task_id> members;
+        for (const auto& [task, run] : target.runs)
+            if (task.step.job == job &&
+                accepted_.at(job)
+                    .spec.steps[static_cast<size_t>(task.step.step)]
+                    .gang)
+                members.push_back(task);
+        for (const task_id& task : members)
+            end_run(target, task, run_end::gang_broken);
+    }
+}
+
 void simulated_cell::set_failing(int target, bool failing) {
     targets_[static_cast<size_t>(target)].failing = failing;
 }
@@ -771,4 +824,24 @@
     return count;
 }
 
+bool simulated_cell::has_run(const target_id& target, const task_id& task,
+                             std::int32_t run) const {
+    const auto& runs = targets_[static_cast<size_t>(index_of(target))].runs;
+    const auto found = runs.find(task);
+    return found != runs.end() && found->second.run == run;
+}
+
+bool simulated_cell::usable(const target_id& target) const {
+    const fake_target& found = targets_[static_cast<size_t>(index_of(target))];
+    return listed_.contains(target) && !found.silent && !found.down;
+}
+
+resources simulated_cell::free_capacity(const target_id& target) const {
+    const fake_target& found = targets_[static_cast<size_t>(index_of(target))];
+    resources out = found.entry.capacity;
+    for (const auto& [task, run] : found.runs)
+        out -= run.demand;
+    return out;
+}
+
 } // namespace rattan::dispatch::testing
--- a/tests/dispatch_world.hpp
+++ b/tests/dispatch_world.hpp
@@ -30,6 +30,8 @@
     millis list_delay{1000};
     /** Longest lease that a target grants. */
     millis max_lease{6000};
+    /** Rate of the targets' clocks. */
+    double target_clock_rate = 1;
     /** Standard deviation of the logarithm of actual duration over estimate. */
     double estimate_error = 0;
 };
@@ -122,6 +124,15 @@
     }
     /** Changes the capacity in a target's entry; its runs stay. */
     void set_capacity(int target, const resources& capacity);
+    /** The target ends with its runs and never answers again. */
+    void lose_target(int target);
+    /**
+     * Adds a target's current entry to the platform's list, or removes it. The
+     * owner is told at once.
+     */
+    void set_listed(int target, bool listed);
+    /** Ends the runs of a job's gangs as on the loss of a member. */
+    void break_gangs(const job_id& job);
     void set_failing(int target, bool failing);
     void set_slow(int target, double factor);
     /** The target refuses all start orders. */
@@ -139,6 +150,8 @@
     void ignore_stops(bool ignore) { ignore_stops_ = ignore; }
     /** A new owner takes over with the records in the store. */
     void restart_owner();
+    /** The owner resigns and another one takes over. */
+    void hand_over();
     void set_store_down(bool down);
     /** The store refuses records over this size. */
     void set_max_record_bytes(std::size_t bytes) { max_record_bytes_ = bytes; }
@@ -210,6 +223,12 @@
     [[nodiscard]] std::optional<int> target_of(const job_id& job) const;
     /** Number of jobs whose records the owner has asked to delete. */
     [[nodiscard]] int removed_jobs() const { return removed_jobs_; }
+    [[nodiscard]] bool has_run(const target_id& target, const task_id& task,
+                               std::int32_t run) const;
+    /** Tells whether a target answers and is in the platform's list. */
+    [[nodiscard]] bool usable(const target_id& target) const;
+    /** Capacity that no run on the target uses. */
+    [[nodiscard]] resources free_capacity(const target_id& target) const;
     [[nodiscard]] static target_id target_name(int target);
 
     // owner_output
@@ -309,8 +328,16 @@
     /** The owner will not hear of these ends again. */
     void acknowledge_ends(fake_target& target, std::int64_t last_seen);
     [[nodiscard]] std::int64_t clock_of(const fake_target& target) const {
-        return now_ + target.clock_offset;
+        return local_time() + target.clock_offset;
+    }
+    /** Virtual time at the rate of the targets' clocks. */
+    [[nodiscard]] std::int64_t local_time() const {
+        return static_cast<std::int64_t>(static_cast<double>(now_) *
+                                         options_.target_clock_rate);
     }
+    /** Ends the process of a target; another one takes its place. */
+    void replace_process(int target, std::int64_t difference);
+    void begin_ownership(std::optional<lease_handover> handover);
     int index_of(const target_id& id) const;
     [[nodiscard]] millis actual_duration(const task_id& task);
     /** The job with actual durations in place of the estimates. */
