Blame no task alone for a loss of many targets

Change: in such a loss a task is blamed with others, never alone, so that the limit of crashes on any grounds ends it.

--- a/src/dispatch/crash_suspects.cpp
+++ b/src/dispatch/crash_suspects.cpp
@@ -39,10 +39,7 @@
 constexpr std::size_t MIN_LOST_TARGETS = 5;
 constexpr std::size_t TARGETS_PER_LOST = 8;
 constexpr millis LOST_TOGETHER{1200};
-/**
- * If one target in this many was lost together, no task is to blame: a task
- * crashes one target at a time.
- */
+/** If one target in this many was lost together, no task is alone to blame. */
 constexpr std::size_t TARGETS_PER_MASS_LOST = 5;
 
 bool is_convicted(int crashes, int sole_crashes) {
@@ -133,10 +130,11 @@
     const std::size_t all = targets_.all().size();
     if (lost >= MIN_LOST_TARGETS && lost * TARGETS_PER_MASS_LOST >= all)
         mass_lost_at_ = target.clock_received_at;
-    if (mass_lost_at_ != mono_time{} &&
+    // Such a loss shows nothing about a single task.
+    const bool in_mass =
+        mass_lost_at_ != mono_time{} &&
         std::chrono::abs(mass_lost_at_ - target.clock_received_at) <=
-            LOST_TOGETHER)
-        return;
+            LOST_TOGETHER;
     const bool with_many =
         lost >= MIN_LOST_TARGETS && lost * TARGETS_PER_LOST >= all;
     for (const task_id& task : tasks) {
@@ -165,10 +163,10 @@
             crash.blame =
                 unproven.empty() ? crash_blame::late : crash_blame::none;
         else // An inherited run may have survived under an earlier owner.
-            crash.blame =
-                unproven.size() == 1 && run.phase != run_phase::inherited
-                    ? crash_blame::sole
-                    : crash_blame::shared;
+            crash.blame = unproven.size() == 1 && !in_mass &&
+                                  run.phase != run_phase::inherited
+                              ? crash_blame::sole
+                              : crash_blame::shared;
         entry->crashes.push_back(crash);
         loss& known_loss = crashed_[target.entry.id];
         known_loss.tasks.insert(task);
