Crash suspects: convict only on runs that had begun

What callers saw: a sound job shown as failed.

Cause: a crash counted in the same way whether the target had confirmed the start or not. In the trace the first of three crashes was of a start without an answer, which never began, and the third of a run that had ended `done` unseen on a silent target before that restarted.

Change: a crash record says whether the run had begun, that is, whether the target had confirmed its start. A conviction needs three crashes under runs that had begun, two of them of this task alone, or five in all with two that had begun. The second keeps the users' limit of starts where an owner that took over can't know whether a run had begun. Without that case sound_neighbours_of_deadly_tasks_complete saw 6 starts in place of 5.

The crash suspects' other tests pass unchanged, but for a field added to the one on the stored form.

--- a/src/dispatch/crash_suspects.cpp
+++ b/src/dispatch/crash_suspects.cpp
@@ -12,15 +12,21 @@
 constexpr millis PROVEN_AFTER{1000};
 /** The same for a task with `MIN_CRASHES` on record; also clears any task. */
 constexpr millis CLEARED_AFTER{10'000};
-/** A task is convicted after this many crashes, of which it alone ... */
+/**
+ * A task is convicted after this many crashes under runs that had begun. A run
+ * may have ended unseen on a target that was silent before it crashed.
+ */
 constexpr int MIN_CRASHES = 3;
-/** ... is to blame for this many. */
+/** It alone has to be to blame for this many, ... */
 constexpr int MIN_SOLE_CRASHES = 2;
 /**
- * A task is convicted on any grounds after this many. Specified by the users: a
- * task is started at most twice more after `MIN_CRASHES`.
+ * ... unless there are this many in all, with runs that may not have begun.
+ * Specified by the users: a task is started at most twice more after
+ * `MIN_CRASHES`.
  */
 constexpr int MAX_CRASHES = 5;
+/** Specified by the users: fewer crashes give no reason to give up a task. */
+constexpr int MIN_BEGUN_CRASHES = 2;
 /** Longest wait of a suspect for a target that it shares with no other. */
 constexpr millis MAX_SUSPECT_WAIT{1000};
 /** Longest wait of a grave suspect for a target without unproven runs. */
@@ -42,35 +48,48 @@
 /** If one target in this many was lost together, no task is alone to blame. */
 constexpr std::size_t TARGETS_PER_MASS_LOST = 5;
 
-bool is_convicted(int crashes, int sole_crashes) {
-    return crashes >= MAX_CRASHES ||
-           (crashes >= MIN_CRASHES && sole_crashes >= MIN_SOLE_CRASHES);
-}
+/** Number of crashes of a task, by what they show. */
+struct crash_count {
+    int all = 0;
+    int sole = 0;
+    int begun = 0;
+
+    void add(const crash_record& crash) {
+        ++all;
+        sole += crash.blame == crash_blame::sole ? 1 : 0;
+        begun += crash.begun ? 1 : 0;
+    }
+
+    [[nodiscard]] bool convicts() const {
+        return (begun >= MIN_CRASHES && sole >= MIN_SOLE_CRASHES) ||
+               (begun >= MIN_BEGUN_CRASHES && all >= MAX_CRASHES);
+    }
+};
 
 } // namespace
 
 suspicion assess(const std::vector<crash_record>& crashes) {
-    int confirmed = 0;
-    int confirmed_sole = 0;
+    crash_count confirmed;
+    crash_count all;
     int at_start = 0;
     int blamed = 0;
-    int sole = 0;
     for (const crash_record& crash : crashes) {
-        const bool is_sole = crash.blame == crash_blame::sole;
-        sole += is_sole ? 1 : 0;
-        at_start += is_sole || crash.blame == crash_blame::shared ? 1 : 0;
+        all.add(crash);
+        if (crash.confirmed)
+            confirmed.add(crash);
+        at_start += crash.blame == crash_blame::sole ||
+                            crash.blame == crash_blame::shared
+                        ? 1
+                        : 0;
         blamed += crash.blame != crash_blame::none ? 1 : 0;
-        confirmed += crash.confirmed ? 1 : 0;
-        confirmed_sole += crash.confirmed && is_sole ? 1 : 0;
     }
-    const int all = static_cast<int>(crashes.size());
-    if (is_convicted(confirmed, confirmed_sole))
+    if (confirmed.convicts())
         return suspicion::convicted;
-    if (is_convicted(all, sole))
+    if (all.convicts())
         return suspicion::held;
-    if (blamed >= 2 || all >= MIN_CRASHES)
+    if (blamed >= 2 || all.all >= MIN_CRASHES)
         return suspicion::grave_suspect;
-    if (at_start > 0 || all >= 2)
+    if (at_start > 0 || all.all >= 2)
         return suspicion::suspect;
     return suspicion::none;
 }
@@ -158,7 +177,8 @@
         crash_record crash{.target = target.entry.id,
                            .incarnation = target.incarnation,
                            .run = run.run,
-                           .confirmed = confirmed};
+                           .confirmed = confirmed,
+                           .begun = run.started != mono_time{}};
         if (proven(task, run))
             crash.blame =
                 unproven.empty() ? crash_blame::late : crash_blame::none;
@@ -257,6 +277,7 @@
              " sole=" + count([](const crash_record& c) {
                  return c.blame == crash_blame::sole;
              }) +
+             " begun=" + count([](const crash_record& c) { return c.begun; }) +
              (cause.empty() ? "" : " " + std::string(cause)));
 }
 
--- a/src/dispatch/job_table.hpp
+++ b/src/dispatch/job_table.hpp
@@ -35,6 +35,11 @@
     std::int32_t run = 0;
     crash_blame blame = crash_blame::none;
     bool confirmed = false; ///< The process of the target has ended.
+    /**
+     * The target had confirmed the start. Otherwise the run may never have
+     * begun.
+     */
+    bool begun = false;
 
     bool operator==(const crash_record&) const = default;
 };
--- a/src/dispatch/record_codec.cpp
+++ b/src/dispatch/record_codec.cpp
@@ -117,13 +117,15 @@
 
 /** Position of the crashes in a task's row; rows without crashes end here. */
 constexpr size_t CRASHES_COLUMN = 7;
+/** Position of `begun` in a crash's row; earlier versions end here. */
+constexpr size_t BEGUN_COLUMN = 5;
 
 json encode_crashes(const std::vector<crash_record>& crashes) {
     json rows = json::array();
     for (const crash_record& crash : crashes)
-        rows.push_back(
-            json::array({crash.target, crash.incarnation, crash.run,
-                         static_cast<int>(crash.blame), crash.confirmed}));
+        rows.push_back(json::array({crash.target, crash.incarnation, crash.run,
+                                    static_cast<int>(crash.blame),
+                                    crash.confirmed, crash.begun}));
     return rows;
 }
 
@@ -134,7 +136,10 @@
                        .incarnation = row.at(1).get<std::int64_t>(),
                        .run = row.at(2).get<std::int32_t>(),
                        .blame = static_cast<crash_blame>(row.at(3).get<int>()),
-                       .confirmed = row.at(4).get<bool>()});
+                       .confirmed = row.at(4).get<bool>(),
+                       // Earlier versions took every run for begun.
+                       .begun = row.size() <= BEGUN_COLUMN ||
+                                row.at(BEGUN_COLUMN).get<bool>()});
     return out;
 }
 
