Simulated cell: tell the owner of each start whose answer is lost

A start whose answer was to be lost, carried out while other starts were delayed, told the owner nothing at all: neither an answer nor that there was none. No client does that; each call ends by its timeout. Such runs stayed in the owner's books for ever, and their jobs did not end.

Change: delivery says whether the answer arrives, is lost, or has timed out before. Only the last tells the owner nothing.

--- a/tests/dispatch_world.cpp
+++ b/tests/dispatch_world.cpp
@@ -234,22 +234,24 @@
         after(START_TIMEOUT, unanswered);
         after(START_DELAY, [this, address, order] {
             if (answers(address.id))
-                deliver_start(address, order, false);
+                deliver_start(address, order, start_answer::timed_out);
         });
         return;
     }
-    after(options_.order_latency / 2, [this, address, order, unanswered,
-                                       answer_arrives = !drop_start_answers_] {
-        if (!answers(address.id))
-            after(START_TIMEOUT, unanswered);
-        else
-            deliver_start(address, order, answer_arrives);
-    });
+    const start_answer answer =
+        drop_start_answers_ ? start_answer::lost : start_answer::arrives;
+    after(options_.order_latency / 2,
+          [this, address, order, unanswered, answer] {
+              if (!answers(address.id))
+                  after(START_TIMEOUT, unanswered);
+              else
+                  deliver_start(address, order, answer);
+          });
 }
 
 void simulated_cell::deliver_start(const target_address& address,
                                    const start_order& order,
-                                   bool answer_arrives) {
+                                   start_answer to_owner) {
     const int index = index_of(address.id);
     fake_target& target = targets_[static_cast<size_t>(index)];
     order_answer answer{
@@ -323,9 +325,9 @@
                             executor.failing ? run_end::failed : run_end::done);
             });
     }
-    if (!answer_arrives && delayed_start_share_ > 0)
-        return; // The owner has already seen a timeout.
-    if (!answer_arrives)
+    if (to_owner == start_answer::timed_out)
+        return;
+    if (to_owner == start_answer::lost)
         answer = {.sent = true};
     deliver_answer([this, address, order, answer] {
         owner_->start_answered(address.id, order.task, order.run, answer,
--- a/tests/dispatch_world.hpp
+++ b/tests/dispatch_world.hpp
@@ -305,12 +305,15 @@
     count(const std::function<bool(const submitted&)>& selects) const;
     void after(millis delay, std::function<void()> call);
     void deliver_answer(std::function<void()> call);
-    /**
-     * Delivers a start order to its target.
-     * @param answer_arrives False: the answer to the owner is lost.
-     */
+    /** What the owner hears of a start order that its target carries out. */
+    enum class start_answer {
+        arrives,
+        lost,      ///< It learns at once that there is no answer.
+        timed_out, ///< It has learned so before.
+    };
+    /** Delivers a start order to its target. */
     void deliver_start(const target_address& address, const start_order& order,
-                       bool answer_arrives);
+                       start_answer to_owner);
     void schedule_tick();
     void end_run(fake_target& target, task_id task, run_end how);
     void send_poll_answer(const target_id& target, const poll_order& order,
