Owner: find a restarted target before late starts reach it

What callers saw: a task that had succeeded was started again. A start has no answer and is carried out seconds later; the target restarts in between, and its new process knows nothing of the stop that the old one had confirmed.

Cause: the owner stops such a start in each new process of the target, but learned of the process late. An idle target is polled each 8 s, and a poll that had failed was repeated after 250 ms.

Change: while a start may still arrive, an idle target gets long polls, which fail as soon as its process ends. A failed poll is repeated after as long as the target has been silent, 20 to 250 ms, so that a target which stays away costs four polls more than before.

Before: restart_is_found_before_a_late_start_arrives failed in its 120 plays (idle and busy targets, restarts 50 ms to 1 s before the start arrives).

--- a/src/dispatch/owner_base.hpp
+++ b/src/dispatch/owner_base.hpp
@@ -299,6 +299,9 @@
                            const owner_clock& clock);
     /** Stops the starts without an answer in the new process of a target. */
     void stop_unanswered_starts(target_state& target, const owner_clock& clock);
+    /** Tells whether a start without an answer may still be carried out. */
+    [[nodiscard]] static bool start_may_arrive(const target_state& target,
+                                               mono_time now);
     /** Tells whether a start was sent and may still be carried out. */
     [[nodiscard]] static bool start_outstanding(const target_state& target);
     /** Time by which a lease ends that any process of a target receives now. */
--- a/src/dispatch/owner_poll.cpp
+++ b/src/dispatch/owner_poll.cpp
@@ -12,7 +12,13 @@
 /** The same while tail latencies have to be monitored. */
 constexpr millis SERVING_POLL_WAIT{500};
 constexpr millis IDLE_POLL_PERIOD{8000}; ///< Between polls of an idle target.
-constexpr millis POLL_RETRY_PERIOD{250}; ///< After a poll without an answer.
+/**
+ * After a poll without an answer the next one follows as long after as the
+ * target has been silent, within these limits. A process that restarts at once
+ * has to be found before starts meant for the one before reach it.
+ */
+constexpr millis MIN_POLL_RETRY_PERIOD{20};
+constexpr millis MAX_POLL_RETRY_PERIOD{250};
 /** Time for an answer in addition to the requested wait. */
 constexpr millis POLL_TIMEOUT_MARGIN{700};
 /** Allows for rounding and for the time that killing the run takes. */
@@ -72,8 +78,8 @@
             return item.second.tail_latency_target.count() > 0;
         });
     millis wait{0};
-    if (!target.runs.empty() && ends_stored && !run_state_unclear &&
-        target.responsive)
+    if ((!target.runs.empty() || start_may_arrive(target, clock.now)) &&
+        ends_stored && !run_state_unclear && target.responsive)
         wait = serving && target.best_effort_milli_cores > 0 ? SERVING_POLL_WAIT
                                                              : LONG_POLL_WAIT;
     // A process that has taken the place of the known one would forget its own
@@ -128,9 +134,15 @@
     if (!answer.order.done && (answer.concurrent || before_restart))
         return;
     if (!answer.order.done) {
-        if (std::exchange(target.responsive, false))
+        if (std::exchange(target.responsive, false)) {
+            target.silent_since = clock.now;
             output_.log("target_silent", {}, "target=" + id.value);
-        target.next_poll = clock.now + POLL_RETRY_PERIOD;
+        }
+        target.next_poll =
+            clock.now + std::clamp(std::chrono::duration_cast<millis>(
+                                       clock.now - target.silent_since),
+                                   MIN_POLL_RETRY_PERIOD,
+                                   MAX_POLL_RETRY_PERIOD);
         return;
     }
     suspects_.target_answered(target, answer.incarnation);
@@ -139,7 +151,7 @@
         // set back. One that answers a poll sent when the other was known
         // already is the later one.
         if (answer.incarnation < target.incarnation && before_restart) {
-            target.next_poll = clock.now + POLL_RETRY_PERIOD;
+            target.next_poll = clock.now + MAX_POLL_RETRY_PERIOD;
             return;
         }
         replace_process(target, answer.incarnation, clock);
@@ -173,7 +185,7 @@
         target.next_poll = clock.now + LEASE_RENEWAL_PERIOD;
     else if (!answer.ended.empty())
         target.next_poll = clock.now;
-    else if (target.runs.empty())
+    else if (target.runs.empty() && !start_may_arrive(target, clock.now))
         target.next_poll = clock.now + IDLE_POLL_PERIOD;
     else
         target.next_poll = clock.now;
@@ -483,6 +495,14 @@
     }
 }
 
+bool owner::start_may_arrive(const target_state& target, mono_time now) {
+    return std::any_of(target.unanswered_starts.begin(),
+                       target.unanswered_starts.end(),
+                       [&](const unanswered_start& start) {
+                           return now - start.sent_at <= MAX_ORDER_DELAY;
+                       });
+}
+
 bool owner::start_outstanding(const target_state& target) {
     return std::any_of(target.runs.begin(), target.runs.end(),
                        [](const auto& item) {
--- a/src/dispatch/target_table.hpp
+++ b/src/dispatch/target_table.hpp
@@ -127,6 +127,8 @@
      * as `other` resets this.
      */
     bool responsive = false;
+    /** When a poll of a responsive target had no answer; zero: never. */
+    mono_time silent_since{};
     mono_time poll_sent_at{};
     mono_time next_poll{};
     int consecutive_failures = 0; ///< Of runs of any job.
--- a/tests/restart_review_test.cpp
+++ b/tests/restart_review_test.cpp
@@ -149,6 +149,42 @@
     }
 }
 
+// A start has no answer, the task runs again and succeeds, the target restarts,
+// and the first start arrives 50 ms later or more. Guards against learning of
+// the restart too late to stop that run in the new process.
+TEST(restart_review, restart_is_found_before_a_late_start_arrives) {
+    const auto play = [](std::uint32_t seed, bool busy, int restart_ms) {
+        simulated_cell cell = make_cell(
+            {.seed = seed, .targets = 4, .list_delay = millis(20'000)});
+        if (busy)
+            for (int target = 0; target < 4; ++target)
+                cell.at(millis(1100), [&cell] {
+                    cell.submit("direct", "a", long_lived_job());
+                });
+        cell.at(millis(2000), [&cell] {
+            cell.delay_starts(1);
+            cell.submit("direct", "a", wide_job(4, 500));
+        });
+        cell.at(millis(2100), [&cell] { cell.delay_starts(0); });
+        // The delayed starts arrive at 5008 ms.
+        for (int target = 0; target < 4; ++target)
+            cell.at(millis(restart_ms),
+                    [&cell, target] { cell.restart_target(target); });
+        cell.run_until(millis(60'000));
+        EXPECT_EQ(cell.overlapping_runs(), 0);
+        EXPECT_EQ(cell.starts_after_success(), 0);
+        EXPECT_EQ(cell.queue_result("direct").ended, 1);
+    };
+    for (std::uint32_t seed = 1; seed <= 20; ++seed)
+        for (const bool busy : {false, true})
+            for (const int restart_ms : {4000, 4800, 4950}) {
+                SCOPED_TRACE(::testing::Message()
+                             << "seed " << seed << " busy " << busy
+                             << " restart_ms " << restart_ms);
+                play(seed, busy, restart_ms);
+            }
+}
+
 // The late order of an earlier run of a task reaches the new process of the
 // target on which the old process ran a later one. Guards against losing the
 // task for ever: the end of the earlier run does not requeue the later one.
