Owner: remember a start whose run was released before it timed out

What callers saw: tasks of a cancelled job started. The start had no answer, the job was cancelled meanwhile, the target confirmed the stop and restarted, and its new process carried the start out. The same with a gang whose other members had ended, where the start also brought the target over its capacity.

Cause: a start counted as unanswered only while the owner still had its run. A run that is stopped before the start times out is released when the target confirms the stop, so nothing was left to stop in the next process.

Change: each start without an answer is remembered, unless its run is known to have been carried out.

--- a/src/dispatch/owner_base.hpp
+++ b/src/dispatch/owner_base.hpp
@@ -248,6 +248,12 @@
     void send_starts(const owner_clock& clock);
     void send_start(target_state& target, const task_id& task, run_entry& run,
                     const owner_clock& clock);
+    /**
+     * Remembers a start without an answer, which may still be carried out.
+     * @param present Whether the target still counts the run.
+     */
+    void note_unanswered_start(target_state& target, const task_id& task,
+                               std::int32_t run, bool present, mono_time now);
 
     // owner_poll.cpp
     void send_due_polls(const owner_clock& clock);
--- a/src/dispatch/owner_start.cpp
+++ b/src/dispatch/owner_start.cpp
@@ -71,6 +71,31 @@
                                        .fencing_token = settings_.epoch});
 }
 
+void owner::note_unanswered_start(target_state& target, const task_id& task,
+                                  std::int32_t run, bool present,
+                                  mono_time now) {
+    const task_entry* entry = jobs_.find(task);
+    const bool carried_out =
+        present ? target.runs.at(task).phase == run_phase::running
+                : entry != nullptr && entry->run == run &&
+                      entry->phase == task_phase::done;
+    if (carried_out)
+        return;
+    const step_spec* spec = jobs_.spec(task.step);
+    const job_entry* job = jobs_.find(task.step.job);
+    target.unanswered_starts.push_back(
+        {.task = task,
+         .run = run,
+         // A run that was released has been stopped, perhaps in the process
+         // before.
+         .stopped_in = present ? target.incarnation : 0,
+         .demand = spec != nullptr ? spec->demand : resources{},
+         .best_effort = spec != nullptr && spec->best_effort,
+         .organisation =
+             job != nullptr ? job->record.organisation : organisation_id{},
+         .sent_at = now});
+}
+
 void owner::start_answered(const target_id& id, const task_id& task,
                            std::int32_t run_number, const order_answer& answer,
                            const owner_clock& clock) {
@@ -84,7 +109,12 @@
     if (!clock_fits)
         target->restart_suspected = clock.now;
     const auto found = target->runs.find(task);
-    if (found == target->runs.end() || found->second.run != run_number)
+    const bool present =
+        found != target->runs.end() && found->second.run == run_number;
+    const bool unanswered = answer.sent && !answer.answered;
+    if (unanswered)
+        note_unanswered_start(*target, task, run_number, present, clock.now);
+    if (!present)
         return;
     run_entry& run = found->second;
     // The next poll of an idle target may be far in the future.
@@ -103,16 +133,9 @@
             poll_concurrently(*target, clock);
         return;
     }
-    if (answer.sent && !answer.answered) {
+    if (unanswered) {
         // The order may be carried out seconds later; a stop prevents that.
         run.start_uncertain = true;
-        target->unanswered_starts.push_back({.task = task,
-                                             .run = run.run,
-                                             .stopped_in = target->incarnation,
-                                             .demand = run.demand,
-                                             .best_effort = run.best_effort,
-                                             .organisation = run.organisation,
-                                             .sent_at = clock.now});
         output_.log("start_unclear", task.step.job, "target=" + id.value);
         request_stop(*target, task, run);
         return;
--- a/tests/restart_review_test.cpp
+++ b/tests/restart_review_test.cpp
@@ -185,6 +185,30 @@
             }
 }
 
+// A job is cancelled before its start has had no answer, the target confirms
+// the stop and restarts, and the start arrives. Guards against forgetting a
+// start whose run was released before it counted as unanswered.
+TEST(restart_review, start_of_a_released_run_is_stopped_in_the_next_process) {
+    for (std::uint32_t seed = 1; seed <= 20; ++seed) {
+        simulated_cell cell = make_cell({.seed = seed, .targets = 4});
+        job_id job;
+        cell.at(millis(2000), [&] {
+            cell.delay_starts(1);
+            job = cell.submit("direct", "a", wide_job(4, 9000));
+        });
+        cell.at(millis(2100), [&] {
+            ASSERT_EQ(cell.starts(), 4);
+            cell.owner_under_test().job_cancelled(job, {"a"}, cell.clock());
+        });
+        for (int target = 0; target < 4; ++target)
+            cell.at(millis(3000), [&, target] { cell.restart_target(target); });
+        cell.run_until(millis(60'000));
+        for (std::int32_t i = 0; i < 4; ++i)
+            EXPECT_EQ(cell.starts_of({{job, 0, 0}, i}), 0) << "seed " << seed;
+        EXPECT_EQ(cell.state_of(job), job_state::cancelled);
+    }
+}
+
 // The late order of an earlier run of a task reaches the new process of the
 // target on which the old process ran a later one. Guards against losing the
 // task for ever: the end of the earlier run does not requeue the later one.
