Crash suspects: drop a conviction that is refuted before it acts

Cause: the job of a convicted task was put on a list when the last crash was recorded, and the list was not read again when a crash was refuted.

Change: the list names the tasks, and only those still convicted are given up.

Before: refuted_crash_convicts_nobody failed. After: it passes, as do the other tests of crash suspects.

--- a/src/dispatch/crash_suspects.cpp
+++ b/src/dispatch/crash_suspects.cpp
@@ -251,7 +251,7 @@
 
 void crash_suspects::review(const task_id& task) {
     if (suspicion_of(task) == suspicion::convicted &&
-        convicted_.insert(task.step.job).second)
+        convicted_.insert(task).second)
         log("task_convicted", task, jobs_.find(task)->crashes.back(), "");
 }
 
@@ -363,7 +363,10 @@
 }
 
 std::vector<job_id> crash_suspects::take_convicted() {
-    const std::set<job_id> jobs = std::exchange(convicted_, {});
+    std::set<job_id> jobs;
+    for (const task_id& task : std::exchange(convicted_, {}))
+        if (suspicion_of(task) == suspicion::convicted)
+            jobs.insert(task.step.job);
     return {jobs.begin(), jobs.end()};
 }
 
--- a/src/dispatch/crash_suspects.hpp
+++ b/src/dispatch/crash_suspects.hpp
@@ -66,7 +66,10 @@
     void run_inherited(const target_state& target, const task_id& task,
                        std::int64_t incarnation);
 
-    /** Returns the jobs with convicted tasks since the last call. */
+    /**
+     * Returns the jobs with tasks convicted since the last call. Not those of
+     * which a crash has been refuted since.
+     */
     [[nodiscard]] std::vector<job_id> take_convicted();
 
     /** @name Placement. */
@@ -131,7 +134,7 @@
     target_table& targets_;
     log_function log_;
     std::map<target_id, loss> crashed_;
-    std::set<job_id> convicted_;
+    std::set<task_id> convicted_;
     /** Suspects that could not be placed, with the time of the first attempt.
      */
     std::map<task_id, mono_time> waiting_since_;
--- a/tests/crash_suspects_test.cpp
+++ b/tests/crash_suspects_test.cpp
@@ -287,6 +287,39 @@
     EXPECT_EQ(cell->state_of(job), job_state::completed);
 }
 
+// The third process of a target that ended under a task turns out to have ended
+// before the start: the next one lists the run. Guards against giving up the
+// job for a crash that was refuted before anything was done about it.
+TEST(crash_suspects, refuted_crash_convicts_nobody) {
+    constexpr int CRASHES = 3;
+    const mono_time now{millis(10'000)};
+    job_table jobs;
+    target_table targets;
+    crash_suspects suspects(
+        jobs, targets,
+        [](std::string_view, const job_id&, const std::string&) {});
+    const job_id job{"j"};
+    const task_id task{{job, 0, 0}, 0};
+    jobs.accept({.id = job, .queue = {"q"}, .spec = one_step({.count = 1})});
+    jobs.start_due_repeats(*jobs.find(job), 0, now);
+    for (std::int32_t run = 1; run <= CRASHES; ++run) {
+        const target_entry entry{.id = {"t" + std::to_string(run)}};
+        target_state& target = targets.add_or_update(entry);
+        jobs.place(task, run, entry);
+        targets.add_run(
+            target, task,
+            {.run = run, .phase = run_phase::unconfirmed, .started = now});
+        suspects.process_ended(target);
+        if (run == CRASHES)
+            suspects.run_listed(target, {.task = task, .run = run});
+        else
+            EXPECT_TRUE(suspects.take_convicted().empty());
+        targets.remove_run(target, task);
+        jobs.requeue(task);
+    }
+    EXPECT_TRUE(suspects.take_convicted().empty());
+}
+
 // Guards against convictions on crashes under runs that had not begun, and
 // against starting a task for ever because some of its runs are not known to
 // have begun.
