--- a/src/dispatch/crash_suspects.cpp
+++ b/src/dispatch/crash_suspects.cpp
@@ -13,19 +13,19 @@
 /** The same for a task with `MIN_CRASHES` on record; also clears any task. */
 constexpr millis CLEARED_AFTER{10'000};
 /**
- * A task is convicted after this many crashes under runs that had begun. A run
- * may have ended unseen on a target that was silent before it crashed.
+ * A task is convicted after this many crashes under runs that had begun, if it
+ * alone is to blame for `MIN_SOLE_CRASHES`. One of the runs may have ended
+ * unseen, on a target that was silent before it crashed.
  */
 constexpr int MIN_CRASHES = 3;
-/** It alone has to be to blame for this many, ... */
 constexpr int MIN_SOLE_CRASHES = 2;
 /**
- * ... unless there are this many in all, with runs that may not have begun.
- * Specified by the users: a task is started at most twice more after
- * `MIN_CRASHES`.
+ * A task is convicted on any grounds after this many crashes, if
+ * `MIN_BEGUN_CRASHES` were under runs that had begun. Specified by the users: a
+ * task is started at most twice more after `MIN_CRASHES`.
  */
 constexpr int MAX_CRASHES = 5;
-/** Specified by the users: fewer crashes give no reason to give up a task. */
+/** Specified by the users: the fewest crashes for which a task is given up. */
 constexpr int MIN_BEGUN_CRASHES = 2;
 /** Longest wait of a suspect for a target that it shares with no other. */
 constexpr millis MAX_SUSPECT_WAIT{1000};
--- a/src/dispatch/owner_poll.cpp
+++ b/src/dispatch/owner_poll.cpp
@@ -13,9 +13,9 @@
 constexpr millis SERVING_POLL_WAIT{500};
 constexpr millis IDLE_POLL_PERIOD{8000}; ///< Between polls of an idle target.
 /**
- * After a poll without an answer the next one follows as long after as the
- * target has been silent, within these limits. A process that restarts at once
- * has to be found before starts meant for the one before reach it.
+ * Limits of the delay before a failed poll is repeated, which is the time for
+ * which the target has been silent. A process that restarts at once has to be
+ * found before a start that was meant for the one before reaches it.
  */
 constexpr millis MIN_POLL_RETRY_PERIOD{20};
 constexpr millis MAX_POLL_RETRY_PERIOD{250};
--- a/tests/crash_suspects_test.cpp
+++ b/tests/crash_suspects_test.cpp
@@ -287,9 +287,9 @@
     EXPECT_EQ(cell->state_of(job), job_state::completed);
 }
 
-// The third process of a target that ended under a task turns out to have ended
-// before the start: the next one lists the run. Guards against giving up the
-// job for a crash that was refuted before anything was done about it.
+// A third crash is recorded, then the target's new process lists the run: its
+// start arrived after the restart. Guards against giving up the job for a crash
+// that was refuted before anything was done about it.
 TEST(crash_suspects, refuted_crash_convicts_nobody) {
     constexpr int CRASHES = 3;
     const mono_time now{millis(10'000)};
--- a/tests/restart_review_test.cpp
+++ b/tests/restart_review_test.cpp
@@ -185,9 +185,9 @@
             }
 }
 
-// A job is cancelled before its start has had no answer, the target confirms
-// the stop and restarts, and the start arrives. Guards against forgetting a
-// start whose run was released before it counted as unanswered.
+// A job is cancelled before its start times out, the target confirms the stop
+// and restarts, and then the start arrives. Guards against forgetting a start
+// whose run was released before it counted as unanswered.
 TEST(restart_review, start_of_a_released_run_is_stopped_in_the_next_process) {
     for (std::uint32_t seed = 1; seed <= 20; ++seed) {
         simulated_cell cell = make_cell({.seed = seed, .targets = 4});
