Job states: questions wait until an end is stored

Change: the owner tells that the end of a running job is not stored; the asked host repeats the question with the time that is left, and the owner answers when the store has answered, when that time is over, when it loses the cell or when it stops. The wait is half of the caller's own, 2 s at most, none without that header; at most 2,000 questions are held. `completed` is shown no earlier than before.

--- a/proto/rattan.thrift
+++ b/proto/rattan.thrift
@@ -119,11 +119,13 @@
 
 struct job_state_request {
     1: required string job,
-    2: required string organisation
+    2: required string organisation,
+    3: i32 wait_ms = 0  // longest wait for an end that is not stored yet
 }
 
 struct job_state_reply {
-    1: required i32 state  // dispatch::job_state
+    1: required i32 state,           // dispatch::job_state
+    2: bool end_unstored = false     // the job has ended; shown once stored
 }
 
 struct waiting_request {
--- a/src/dispatch/owner_base.cpp
+++ b/src/dispatch/owner_base.cpp
@@ -332,6 +332,7 @@
             "state=" + std::to_string(static_cast<int>(job->state)) +
                 " age_ms=" +
                 std::to_string(clock.wall_ms - job->record.accepted_ms));
+        output_.end_stored(id);
     }
 }
 
@@ -379,12 +380,14 @@
     if (job == nullptr || (!job->record.organisation.empty() &&
                            job->record.organisation != asking))
         return job_state::unknown;
-    // A later owner knows only what is stored. A cancellation is known from the
-    // record of its caller.
-    if (job->ended() && live_jobs_.contains(id) &&
-        job->state != job_state::cancelled)
-        return job_state::running;
-    return job->state;
+    return end_unstored(id) ? job_state::running : job->state;
+}
+
+bool owner::end_unstored(const job_id& id) const {
+    const job_entry* job = jobs_.find(id);
+    // A cancellation is known from the record of its caller.
+    return job != nullptr && job->ended() && live_jobs_.contains(id) &&
+           job->state != job_state::cancelled;
 }
 
 std::int64_t owner::waiting_in(const queue_id& queue) const {
--- a/src/dispatch/owner_base.hpp
+++ b/src/dispatch/owner_base.hpp
@@ -55,6 +55,8 @@
      * ones.
      */
     virtual void remove_jobs(const std::vector<job_id>& jobs) = 0;
+    /** The end of a job is stored: `state_of` returns it from now on. */
+    virtual void end_stored(const job_id& job) = 0;
     /** Logs a decision. */
     virtual void log(std::string_view event, const job_id& job,
                      const std::string& detail) = 0;
@@ -180,6 +182,11 @@
     ///@{
     [[nodiscard]] job_state state_of(const job_id& job,
                                      const organisation_id& asking) const;
+    /**
+     * Tells whether a job has ended but a later owner would not know it, so
+     * that `state_of` does not return the end yet.
+     */
+    [[nodiscard]] bool end_unstored(const job_id& job) const;
     [[nodiscard]] std::int64_t waiting_in(const queue_id& queue) const;
     [[nodiscard]] const job_table& jobs() const { return jobs_; }
     [[nodiscard]] const target_table& targets() const { return targets_; }
--- a/src/front/front_service.cpp
+++ b/src/front/front_service.cpp
@@ -36,6 +36,8 @@
 /** Twice this number of descriptors is not available to clients. */
 constexpr std::size_t RESERVED_DESCRIPTORS = 300;
 constexpr unsigned CLIENT_IDLE_TIMEOUT_S = 30;
+/** Questions that the owner holds until the end of a job is stored. */
+constexpr std::size_t MAX_STATE_WAITERS = 2000;
 /**
  * The owner has a long poll pending on each partition of jobs and four others,
  * besides appends and loads.
@@ -73,7 +75,10 @@
                     [this](std::int64_t epoch) {
                         owner_ = std::make_unique<owner_service>(
                             owner_context{loop_, http_, store_, settings_,
-                                          members_, metrics_, delegates_},
+                                          members_, metrics_, delegates_,
+                                          [this](const job_id& job) {
+                                              state_waiters_.end_stored(job);
+                                          }},
                             epoch);
                         owner_->ownership_confirmed(event_loop::now());
                         owner_->set_config(config_);
@@ -87,6 +92,7 @@
                         // Deferred: a callback of the owner may be running.
                         loop_.defer([old_owner = std::shared_ptr<owner_service>(
                                          std::move(owner_))] {});
+                        state_waiters_.release_all();
                     },
                 .ownership_confirmed =
                     [this](mono_time at) {
@@ -114,7 +120,8 @@
            .partitions = job_partitions(settings),
            .first_partition = first_partition(settings),
            .producer = settings.host.value + "/" + std::to_string(incarnation_),
-           .max_append_bytes = settings.max_append_bytes}) {
+           .max_append_bytes = settings.max_append_bytes}),
+      state_waiters_(MAX_STATE_WAITERS) {
     job_writer_.on_answered([this] { members_.store_answered(); });
 }
 
@@ -393,6 +400,7 @@
         return;
     log_event(log_level::info, "leaving", {});
     members_.leave();
+    state_waiters_.release_all();
     client_server_->drain();
     const mono_time started_at = event_loop::now();
     loop_.every(SHUTDOWN_POLL_PERIOD, [this, started_at] {
--- a/src/front/front_service.hpp
+++ b/src/front/front_service.hpp
@@ -3,6 +3,7 @@
 
 #include "base/metrics_base.hpp"
 #include "dispatch/route_type.hpp"
+#include "dispatch/state_waiters.hpp"
 #include "front/member_service.hpp"
 #include "front/owner_service.hpp"
 #include "front/record_writer.hpp"
@@ -12,6 +13,7 @@
 #include "net/rpc_server.hpp"
 #include "platform/platform_settings.hpp"
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
@@ -68,6 +70,31 @@
                           std::size_t attempt);
     void reply_state(const std::shared_ptr<pending_request>& pending,
                      dispatch::job_state state);
+    /**
+     * Time for which a caller's question may wait for an end to be stored,
+     * from now on; none if the caller did not say how long it waits.
+     */
+    [[nodiscard]] static millis
+    remaining_state_wait(const pending_request& pending);
+    /**
+     * As the owner, calls `done` once the end of a job is stored, but no later
+     * than after `wait`.
+     * @return False, and `done` is not called, if there is nothing to wait for.
+     */
+    bool wait_for_stored_end(const job_id& job, millis wait,
+                             std::function<void()> done);
+    /**
+     * Asks the owner, which has answered that the end of the job is not stored,
+     * to answer once it is.
+     */
+    void ask_for_stored_end(const std::shared_ptr<pending_request>& pending,
+                            const std::string& owner_address);
+    /**
+     * Replies to a question that has waited for an end to be stored.
+     * @param state Nothing if this host does not know the state any more.
+     */
+    void reply_waited_state(const std::shared_ptr<pending_request>& pending,
+                            std::optional<dispatch::job_state> state);
     /** Answers `JOB_STATE` as the owner. */
     void answer_job_state(const std::string& body,
                           const rpc_server::responder& answer);
@@ -132,6 +159,7 @@
     dispatch::cell_config config_;
     std::set<data_centre_id> evacuated_;
     std::unique_ptr<owner_service> owner_;
+    dispatch::state_waiters state_waiters_;
     std::unique_ptr<state_reader> state_reader_; ///< While no owner answers.
     std::unique_ptr<rpc_server> rpc_server_;
     std::unique_ptr<http_server> client_server_;
--- a/src/front/front_state.cpp
+++ b/src/front/front_state.cpp
@@ -6,6 +6,7 @@
 #include "platform/wire_codec.hpp"
 
 #include <algorithm>
+#include <charconv>
 
 namespace rattan::front {
 
@@ -17,6 +18,10 @@
 /** After this time without the owner, job states are read from the store. */
 constexpr millis OWNER_SILENT_AGE{600};
 constexpr std::size_t MAX_READERS_ASKED = 2; ///< For one question.
+/** A question waits at most for this part of the time that its caller does. */
+constexpr int STATE_WAIT_DIVISOR = 2;
+/** Shorter than a shutdown, which pending questions delay. */
+constexpr millis MAX_STATE_WAIT{2000};
 
 } // namespace
 
@@ -42,8 +47,17 @@
 
 void front_service::reply_current_state(
     const std::shared_ptr<pending_request>& pending) {
-    if (const auto state = known_state(pending->job, pending->organisation))
+    if (const auto state = known_state(pending->job, pending->organisation)) {
+        const auto reply_again = [this, pending] {
+            reply_waited_state(
+                pending, known_state(pending->job, pending->organisation));
+        };
+        if (*state == job_state::running &&
+            wait_for_stored_end(pending->job, remaining_state_wait(*pending),
+                                reply_again))
+            return;
         return reply_state(pending, *state);
+    }
     const std::string& address = members_.owner().address;
     if (owner_ || address.empty() || owner_silent())
         return ask_state_reader(pending, 0);
@@ -52,14 +66,77 @@
     request.organisation = pending->organisation.value;
     members_.peer(address).call(
         wire::method::JOB_STATE, wire_encode(request), CALL_TIMEOUT,
-        [this, pending](const rpc_call_result& answer) {
+        [this, pending, address](const rpc_call_result& answer) {
             if (!answer.ok())
                 return ask_state_reader(pending, 0);
             const auto reply = wire_decode<wire::job_state_reply>(answer.body);
+            if (reply.end_unstored)
+                return ask_for_stored_end(pending, address);
             reply_state(pending, static_cast<job_state>(reply.state));
         });
 }
 
+void front_service::ask_for_stored_end(
+    const std::shared_ptr<pending_request>& pending,
+    const std::string& owner_address) {
+    const millis wait = remaining_state_wait(*pending);
+    if (shutting_down_ || wait <= millis(0))
+        return reply_state(pending, job_state::running);
+    wire::job_state_request request;
+    request.job = pending->job.value;
+    request.organisation = pending->organisation.value;
+    request.wait_ms = static_cast<std::int32_t>(wait.count());
+    members_.peer(owner_address)
+        .call(wire::method::JOB_STATE, wire_encode(request),
+              wait + CALL_TIMEOUT,
+              [this, pending](const rpc_call_result& answer) {
+                  if (!answer.ok())
+                      return reply_waited_state(pending, std::nullopt);
+                  const auto reply =
+                      wire_decode<wire::job_state_reply>(answer.body);
+                  reply_waited_state(pending,
+                                     static_cast<job_state>(reply.state));
+              });
+}
+
+void front_service::reply_waited_state(
+    const std::shared_ptr<pending_request>& pending,
+    std::optional<job_state> state) {
+    // If nothing is known now, what the owner said before still holds for a
+    // moment of this question.
+    const job_state known = state.value_or(job_state::running);
+    if (known == job_state::running)
+        log_event(log_level::info, "end_not_stored",
+                  {{"job", pending->job.value}});
+    reply_state(pending, known);
+}
+
+millis front_service::remaining_state_wait(const pending_request& pending) {
+    const auto header = pending.request.headers.find(platform::DEADLINE_HEADER);
+    if (header == pending.request.headers.end())
+        return millis(0);
+    const std::string& text = header->second;
+    std::int64_t caller_wait_ms = 0;
+    std::from_chars(text.data(), text.data() + text.size(), caller_wait_ms);
+    const millis longest =
+        std::min(millis(caller_wait_ms / STATE_WAIT_DIVISOR), MAX_STATE_WAIT);
+    const millis passed = event_loop::now() - pending.arrived_at;
+    return std::max(longest - passed, millis(0));
+}
+
+bool front_service::wait_for_stored_end(const job_id& job, millis wait,
+                                        std::function<void()> done) {
+    if (shutting_down_ || wait <= millis(0) || !owner_ ||
+        !owner_->decisions().end_unstored(job))
+        return false;
+    wait = std::min(wait, MAX_STATE_WAIT);
+    if (!state_waiters_.add(job, event_loop::now() + wait, std::move(done)))
+        return false;
+    ++metrics_.counter("rattan_state_waits_total");
+    loop_.after(wait, [this] { state_waiters_.expire(event_loop::now()); });
+    return true;
+}
+
 void front_service::ask_state_reader(
     const std::shared_ptr<pending_request>& pending, std::size_t attempt) {
     const auto readers =
@@ -96,14 +173,20 @@
 void front_service::answer_job_state(const std::string& body,
                                      const rpc_server::responder& answer) {
     const auto request = wire_decode<wire::job_state_request>(body);
-    const auto state = owner_
-                           ? known_state({request.job}, {request.organisation})
-                           : std::nullopt;
-    if (!state)
-        return answer(wire::status::UNAVAILABLE, "");
-    wire::job_state_reply reply;
-    reply.state = static_cast<std::int32_t>(*state);
-    answer(wire::status::OK, wire_encode(reply));
+    const auto reply_now = [this, request, answer] {
+        const auto state =
+            owner_ ? known_state({request.job}, {request.organisation})
+                   : std::nullopt;
+        if (!state)
+            return answer(wire::status::UNAVAILABLE, "");
+        wire::job_state_reply reply;
+        reply.state = static_cast<std::int32_t>(*state);
+        reply.end_unstored = *state == job_state::running &&
+                             owner_->decisions().end_unstored({request.job});
+        answer(wire::status::OK, wire_encode(reply));
+    };
+    if (!wait_for_stored_end({request.job}, millis(request.wait_ms), reply_now))
+        reply_now();
 }
 
 void front_service::answer_read_state(const std::string& body,
--- a/src/front/owner_service.hpp
+++ b/src/front/owner_service.hpp
@@ -9,6 +9,7 @@
 #include "front/topic_follower.hpp"
 #include "platform/target_client.hpp"
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
@@ -30,6 +31,8 @@
     member_service& members;
     metrics_registry& metrics;
     delegate_service& delegates;
+    /** Called when the end of a job is stored and may be shown. */
+    std::function<void(const job_id&)> end_stored;
 };
 
 /**
@@ -84,6 +87,7 @@
                     millis timeout) override;
     void store(const std::vector<dispatch::store_record>& records) override;
     void remove_jobs(const std::vector<job_id>& jobs) override;
+    void end_stored(const job_id& job) override { context_.end_stored(job); }
     void log(std::string_view event, const job_id& job,
              const std::string& detail) override;
 
--- a/tests/dispatch_stored_test.cpp
+++ b/tests/dispatch_stored_test.cpp
@@ -44,6 +44,8 @@
     ASSERT_EQ(cell->runs_of(job), 0U);
     EXPECT_EQ(cell->owner_under_test().state_of(job, ORGANISATION),
               job_state::running);
+    EXPECT_TRUE(cell->owner_under_test().end_unstored(job));
+    EXPECT_FALSE(cell->end_reported(job));
     const bool shown = cell->owner_under_test().state_of(job, ORGANISATION) ==
                        job_state::completed;
     cell->restart_target(*target);
@@ -55,6 +57,29 @@
     EXPECT_EQ(cell->starts(), shown ? 1 : 2);
 }
 
+// Guards against callers that wait for an end in vain: its storage is reported
+// once `state_of` returns it, and neither a running job nor a cancelled one
+// makes anybody wait.
+TEST(dispatch_stored, the_owner_reports_each_end_that_is_stored) {
+    auto cell = make_cell(55);
+    const job_id ended = cell->submit("checks", "a", one_task(millis(1500)));
+    const job_id cancelled =
+        cell->submit("checks", "a", one_task(millis(60'000)));
+    cell->run_until(millis(2000));
+    EXPECT_FALSE(cell->owner_under_test().end_unstored(ended));
+    cell->set_store_down(true);
+    cell->run_until(millis(3800));
+    cell->owner_under_test().job_cancelled(cancelled, {"a"}, cell->clock());
+    EXPECT_TRUE(cell->owner_under_test().end_unstored(ended));
+    EXPECT_FALSE(cell->owner_under_test().end_unstored(cancelled));
+    cell->set_store_down(false);
+    cell->run_until(millis(4500));
+    EXPECT_TRUE(cell->end_reported(ended));
+    EXPECT_FALSE(cell->owner_under_test().end_unstored(ended));
+    EXPECT_EQ(cell->owner_under_test().state_of(ended, ORGANISATION),
+              job_state::completed);
+}
+
 // Guards against deleting the records of a cancelled job while its end is not
 // stored: an owner that finds only some of them deleted would start it again.
 TEST(dispatch_stored, a_cancelled_job_is_removed_only_once_its_end_is_stored) {
--- a/tests/dispatch_world.hpp
+++ b/tests/dispatch_world.hpp
@@ -223,6 +223,10 @@
     [[nodiscard]] std::optional<int> target_of(const job_id& job) const;
     /** Number of jobs whose records the owner has asked to delete. */
     [[nodiscard]] int removed_jobs() const { return removed_jobs_; }
+    /** Tells whether an owner has reported that the end of a job is stored. */
+    [[nodiscard]] bool end_reported(const job_id& job) const {
+        return stored_ends_.contains(job);
+    }
     [[nodiscard]] bool has_run(const target_id& target, const task_id& task,
                                std::int32_t run) const;
     /** Tells whether a target answers and is in the platform's list. */
@@ -251,6 +255,7 @@
     void remove_jobs(const std::vector<job_id>& jobs) override {
         removed_jobs_ += static_cast<int>(jobs.size());
     }
+    void end_stored(const job_id& job) override { stored_ends_.insert(job); }
     void log(std::string_view event, const job_id& job,
              const std::string&) override {
         if (event == "job_given_up")
@@ -399,6 +404,7 @@
     int polls_ = 0;
     int starts_with_old_ticket_ = 0;
     int removed_jobs_ = 0;
+    std::set<job_id> stored_ends_;
     int ticks_ = 0;
     int next_job_ = 0;
 };
--- a/tests/owner_order_test.cpp
+++ b/tests/owner_order_test.cpp
@@ -35,6 +35,7 @@
         ++store_calls;
     }
     void remove_jobs(const std::vector<job_id>&) override {}
+    void end_stored(const job_id&) override {}
     void log(std::string_view, const job_id&, const std::string&) override {}
 
     std::vector<start_order> starts;
--- a/tests/process_front_test.cpp
+++ b/tests/process_front_test.cpp
@@ -9,6 +9,7 @@
 #include <filesystem>
 #include <fstream>
 #include <functional>
+#include <future>
 #include <map>
 #include <set>
 #include <sys/prctl.h>
@@ -26,6 +27,11 @@
 /** This host uses the alternate store address, which can fail separately. */
 constexpr int ALTERNATE_STORE_HOST = 1;
 
+std::string job_name(int number) {
+    std::string digits = std::to_string(number);
+    return std::string(16 - digits.size(), '0') + digits;
+}
+
 /** Three hosts and a stand-in platform; TearDown kills all processes. */
 class front_process_test : public ::testing::Test {
 protected:
@@ -142,16 +148,21 @@
              .body = config.dump()});
     }
 
+    /** @param deadline_ms How long the caller says it waits; 0: not said. */
     blocking_response call(const std::string& method, const std::string& job,
                            int host, const std::string& body = "",
-                           const std::string& key = "key-1") {
+                           const std::string& key = "key-1",
+                           int deadline_ms = 0) {
+        std::map<std::string, std::string> headers = {
+            {"Host", "shop.example"}, {"Authorization", "Token " + key}};
+        if (deadline_ms > 0)
+            headers["X-Rattanknot-Deadline-Ms"] = std::to_string(deadline_ms);
         return send_http_request(
             {.method = method,
              .url = "http://" + network_prefix_ + std::to_string(host) + ":" +
                     std::to_string(FRONT_PORT) + "/q/" + job,
              .body = body,
-             .headers = {{"Host", "shop.example"},
-                         {"Authorization", "Token " + key}},
+             .headers = headers,
              .timeout_ms = 3000});
     }
 
@@ -177,6 +188,38 @@
         return body.is_object() ? body.value("state", "") : "";
     }
 
+    /** Answer to a caller that asked for a job's state. */
+    struct timed_state {
+        std::string state;
+        std::chrono::milliseconds took{0};
+    };
+
+    /** @param deadline_ms How long the caller says it waits; 0: not said. */
+    timed_state timed_job_state(const std::string& job, int host,
+                                int deadline_ms = 3000) {
+        const auto asked = std::chrono::steady_clock::now();
+        const json body =
+            call("GET", job, host, "", "key-1", deadline_ms).json();
+        return {body.is_object() ? body.value("state", "") : "",
+                std::chrono::duration_cast<std::chrono::milliseconds>(
+                    std::chrono::steady_clock::now() - asked)};
+    }
+
+    /**
+     * Takes the store down, with an owner that knows the end of job 1 and has
+     * not stored it. @return The owner.
+     */
+    int take_store_down_before_end() {
+        submit(job_name(1), 1, 1, 1000);
+        wait_for("the task to start",
+                 [&] { return audit_count("present") == 1; });
+        const int owner = owner_host();
+        send_http_request({.url = admin_url("/admin/store?down=1")});
+        wait_for("the task to end", [&] { return audit_count("done") == 1; });
+        std::this_thread::sleep_for(std::chrono::milliseconds(300));
+        return owner;
+    }
+
     int audit_count(const std::string& field) {
         return send_http_request({.url = admin_url("/admin/audit")})
             .json()
@@ -217,11 +260,6 @@
     std::map<int, pid_t> hosts_;
 };
 
-std::string job_name(int number) {
-    std::string digits = std::to_string(number);
-    return std::string(16 - digits.size(), '0') + digits;
-}
-
 } // namespace
 
 TEST_F(front_process_test, jobs_complete_through_every_host) {
@@ -586,6 +624,74 @@
     EXPECT_EQ(job_state(job_name(1), owner), "completed");
 }
 
+// The store is back while callers wait. Guards against an answer `running` to
+// those who ask between the end of a job and its storage: they would ask again
+// much later.
+TEST_F(front_process_test, a_caller_learns_of_an_end_once_it_is_stored) {
+    const int owner = take_store_down_before_end();
+    ASSERT_GT(owner, 0);
+    auto at_owner = std::async(std::launch::async, [&] {
+        return timed_job_state(job_name(1), owner);
+    });
+    auto at_other = std::async(std::launch::async, [&] {
+        return timed_job_state(job_name(1), 1 + owner % 3);
+    });
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    send_http_request({.url = admin_url("/admin/store?down=0")});
+    EXPECT_EQ(at_owner.get().state, "completed");
+    EXPECT_EQ(at_other.get().state, "completed");
+}
+
+// The store stays away. Guards against callers that get no answer before they
+// give up.
+TEST_F(front_process_test,
+       callers_are_answered_in_time_if_an_end_is_not_stored) {
+    const int owner = take_store_down_before_end();
+    ASSERT_GT(owner, 0);
+    for (const int host : {owner, 1 + owner % 3}) {
+        const timed_state answer = timed_job_state(job_name(1), host);
+        EXPECT_EQ(answer.state, "running");
+        EXPECT_GT(answer.took, std::chrono::milliseconds(1000)) << "it waited";
+        EXPECT_LT(answer.took, std::chrono::milliseconds(2500));
+    }
+    // Nothing is known of how long this caller waits.
+    const timed_state other = timed_job_state(job_name(1), owner, 0);
+    EXPECT_EQ(other.state, "running");
+    EXPECT_LT(other.took, std::chrono::milliseconds(700));
+    send_http_request({.url = admin_url("/admin/store?down=0")});
+}
+
+// Guards against a shutdown that cuts off callers who wait for an end to be
+// stored, or that waits with them.
+TEST_F(front_process_test, a_stopping_owner_answers_the_callers_that_wait) {
+    const int owner = take_store_down_before_end();
+    ASSERT_GT(owner, 0);
+    auto waiting = std::async(std::launch::async, [&] {
+        return timed_job_state(job_name(1), owner);
+    });
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    kill(hosts_.at(owner), SIGTERM);
+    const timed_state answer = waiting.get();
+    EXPECT_EQ(answer.state, "running");
+    EXPECT_GE(answer.took, std::chrono::milliseconds(250)) << "it waited";
+    EXPECT_LT(answer.took, std::chrono::milliseconds(1200));
+}
+
+// Guards against callers who wait for an owner that is gone.
+TEST_F(front_process_test, callers_that_wait_are_answered_when_the_owner_dies) {
+    const int owner = take_store_down_before_end();
+    ASSERT_GT(owner, 0);
+    auto waiting = std::async(std::launch::async, [&] {
+        return timed_job_state(job_name(1), 1 + owner % 3);
+    });
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    kill(hosts_.at(owner), SIGKILL);
+    const timed_state answer = waiting.get();
+    EXPECT_EQ(answer.state, "running");
+    EXPECT_GE(answer.took, std::chrono::milliseconds(250)) << "it waited";
+    EXPECT_LT(answer.took, std::chrono::milliseconds(1200));
+}
+
 TEST_F(front_process_test, stopped_host_completes_pending_requests) {
     const int leaving = 1 + owner_host() % 3;
     kill(hosts_.at(leaving), SIGTERM);
