Advice: rank the targets of a call once

Cause, one of several: each call for advice sorted all schedulable targets by a rank that looked the target up and hashed its name in every comparison.

Change: the rank is computed once a target, and only the part that a call can name is sorted. The order is the same, so are the simulated histories.

--- a/src/dispatch/owner_place.cpp
+++ b/src/dispatch/owner_place.cpp
@@ -49,6 +49,24 @@
          slots_in(available.accelerators, demand.accelerators)}));
 }
 
+/** A target about which the advice service may be asked. */
+struct advice_candidate {
+    bool unknown = true; ///< Not known to be eligible.
+    std::int32_t slots = 0;
+    std::size_t spread = 0; ///< Orders equal targets differently for each job.
+    std::string_view name;
+
+    /**
+     * Targets known to be eligible come first, since only their tickets have to
+     * be renewed; then those with most room.
+     */
+    bool operator<(const advice_candidate& other) const {
+        return std::tuple(unknown, -slots, spread, name) <
+               std::tuple(other.unknown, -other.slots, other.spread,
+                          other.name);
+    }
+};
+
 /** Tells whether a task of a ready step is waiting for a target. */
 bool has_waiting(const job_entry& job) {
     for (const auto& [number, repeat] : job.repeats)
@@ -383,44 +401,43 @@
         step.queue->advice->decide_ms >=
         static_cast<double>(advice_table::SLOW_CALL_THRESHOLD.count());
     const double ask_factor = slow ? ASK_FACTOR_SLOW : ASK_FACTOR_QUICK;
-    std::vector<std::pair<std::int32_t, const target_state*>> candidates;
+    // A wide call asks about other ones of equal targets than those of other
+    // steps; steps that ask about the same ones compete for them.
+    const bool wide =
+        step.spec->gang || schedulable_.size() >= LARGE_CELL_TARGETS;
+    const auto hash = std::hash<std::string>();
+    const std::size_t seed = hash(step.ref.job.value);
+    std::vector<advice_candidate> candidates;
     for (const target_state* target : schedulable_) {
         const std::int32_t slots = free_slots(step, *target);
         const target_id& id = target->entry.id;
-        if (slots > 0 && matches_constraints(step, *target) &&
-            !advice.ineligible.contains(id) &&
-            advice.valid_ticket(id, clock.now) == nullptr)
-            candidates.emplace_back(slots, target);
+        if (slots <= 0 || !matches_constraints(step, *target) ||
+            advice.ineligible.contains(id) ||
+            advice.valid_ticket(id, clock.now) != nullptr)
+            continue;
+        candidates.push_back({.unknown = !advice.eligible.contains(id),
+                              .slots = slots,
+                              .spread = wide ? hash(id.value) ^ seed : 0,
+                              .name = id.value});
     }
     if (candidates.empty())
         return;
-    // Targets known to be eligible come first: only their tickets have to be
-    // renewed. A wide call asks about other ones of equal targets than those of
-    // other steps; steps that ask about the same ones compete for them.
-    const bool wide =
-        step.spec->gang || schedulable_.size() >= LARGE_CELL_TARGETS;
-    const auto hash = std::hash<std::string>();
-    const std::size_t seed = hash(step.ref.job.value);
-    const auto rank = [&](const auto& candidate) {
-        const target_id& id = candidate.second->entry.id;
-        return std::tuple(!advice.eligible.contains(id), -candidate.first,
-                          wide ? hash(id.value) ^ seed : 0,
-                          std::string_view(id.value));
-    };
-    std::sort(candidates.begin(), candidates.end(),
-              [&](const auto& a, const auto& b) { return rank(a) < rank(b); });
+    const auto asked_end = candidates.begin() +
+                           static_cast<std::ptrdiff_t>(
+                               std::min(candidates.size(), MAX_ASKED_TARGETS));
+    std::partial_sort(candidates.begin(), asked_end, candidates.end());
     const double needed =
         ask_factor * static_cast<double>(jobs_.find(step.ref)->waiting);
     const size_t min_targets =
         wide ? MIN_ASKED_TARGETS_WIDE : MIN_ASKED_TARGETS;
     double counted = 0;
     std::vector<std::string> target_names;
-    for (const auto& [slots, target] : candidates) {
-        if (target_names.size() >= MAX_ASKED_TARGETS ||
-            (counted >= needed && target_names.size() >= min_targets))
+    for (auto candidate = candidates.begin(); candidate != asked_end;
+         ++candidate) {
+        if (counted >= needed && target_names.size() >= min_targets)
             break;
-        counted += slots;
-        target_names.push_back(target->entry.id.value);
+        counted += candidate->slots;
+        target_names.emplace_back(candidate->name);
     }
     const millis duration =
         advice_call_duration(*step.queue->advice, target_names.size());
