Owner: space placement rounds by their own duration

Callers of a large cell waited for seconds, and other hosts claimed the cell from an owner that was alive: its answers to heartbeats were late.

Cause: the time until the next placement round was twice the duration of the last tick.

Change: the next round waits for twice the duration of the tick that had the last one, from its end.

Result: owner_order.placement_rounds_are_spaced_by_their_own_duration fails with the earlier rule (a second round 20 ms after one of 20 ms) and passes now.

--- a/src/dispatch/owner_base.cpp
+++ b/src/dispatch/owner_base.cpp
@@ -21,8 +21,8 @@
  */
 constexpr millis MIN_SCHEDULE_PERIOD{8};
 /**
- * Time between placement rounds in multiples of the last tick's duration, so
- * that answers and heartbeats get as much time as the tick took.
+ * Time between placement rounds in multiples of the duration of the tick with
+ * the last one, so that answers and heartbeats get twice as much time.
  */
 constexpr int SCHEDULE_PERIOD_FACTOR = 2;
 constexpr millis MAX_SCHEDULE_PERIOD{150};
@@ -347,9 +347,8 @@
     give_up_convicted(clock);
     if (schedule_due_ && clock.now >= next_schedule_) {
         schedule_due_ = false;
-        next_schedule_ =
-            clock.now + std::clamp(last_tick_duration_ * SCHEDULE_PERIOD_FACTOR,
-                                   MIN_SCHEDULE_PERIOD, MAX_SCHEDULE_PERIOD);
+        placed_in_tick_ = true;
+        next_schedule_ = clock.now + MIN_SCHEDULE_PERIOD;
         schedule(clock);
     }
     send_stops(clock);
@@ -358,6 +357,15 @@
     purge_expired(clock);
 }
 
+void owner::tick_took(millis duration, mono_time now) {
+    if (!std::exchange(placed_in_tick_, false))
+        return;
+    next_schedule_ =
+        std::max(next_schedule_,
+                 now + std::clamp(duration * SCHEDULE_PERIOD_FACTOR,
+                                  MIN_SCHEDULE_PERIOD, MAX_SCHEDULE_PERIOD));
+}
+
 mono_time owner::next_due(const owner_clock& clock) const {
     mono_time due = next_purge_;
     if (schedule_due_)
--- a/src/dispatch/owner_base.hpp
+++ b/src/dispatch/owner_base.hpp
@@ -116,10 +116,10 @@
     /** The store confirmed that this host was still the owner at `at`. */
     void ownership_confirmed(mono_time at);
     /**
-     * Reports how long the last `tick` took; placement rounds are spaced
-     * accordingly.
+     * Reports how long the last `tick` took until `now`. If it contained a
+     * placement round, the next one is spaced accordingly.
      */
-    void tick_took(millis duration) { last_tick_duration_ = duration; }
+    void tick_took(millis duration, mono_time now);
     /**
      * The process was suspended, so another host may have claimed ownership.
      * Orders wait until the ownership is confirmed again.
@@ -372,7 +372,7 @@
         std::int64_t updated_ms = 0; ///< Unix time of the last submission.
     };
     std::map<organisation_id, rate_bucket> rate_buckets_;
-    millis last_tick_duration_{0};
+    bool placed_in_tick_ = false; ///< The last tick had a placement round.
     /** Requests to cancel a job that is not known. */
     struct early_cancel {
         std::int64_t at_ms = 0; ///< Unix time of the last one.
--- a/src/front/owner_service.cpp
+++ b/src/front/owner_service.cpp
@@ -366,7 +366,8 @@
     context_.delegates.set_target_count(owner_.targets().all().size());
     const mono_time started_at = event_loop::now();
     owner_.tick(clock());
-    owner_.tick_took(event_loop::now() - started_at);
+    const mono_time now = event_loop::now();
+    owner_.tick_took(now - started_at, now);
     if (owner_.superseded())
         return context_.members.handle_fenced();
     arm_timer();
--- a/tests/owner_order_test.cpp
+++ b/tests/owner_order_test.cpp
@@ -98,6 +98,13 @@
 
     void accept(const std::string& id, step_spec step,
                 const organisation_id& organisation = {}) {
+        submit(id, std::move(step), organisation);
+        tick();
+    }
+
+    /** Passes a job of one task to the owner, without a tick. */
+    void submit(const std::string& id, step_spec step = {},
+                const organisation_id& organisation = {}) {
         step.count = 1;
         step.demand = {1000, 10, 0};
         job_record record{
@@ -105,7 +112,18 @@
         record.spec.steps = {std::move(step)};
         record.accepted_ms = clock().wall_ms;
         under_test.job_accepted(std::move(record), clock());
-        tick();
+    }
+
+    /** Runs a tick that takes some time, and confirms its records. */
+    void tick_for(millis duration) {
+        under_test.ownership_confirmed(clock().now);
+        under_test.tick(clock());
+        now_ms += duration.count();
+        under_test.tick_took(duration, clock().now);
+        if (output.store_calls > stored_calls) {
+            stored_calls = output.store_calls;
+            under_test.records_stored(clock());
+        }
     }
 
     void confirm_start(const start_order& order) {
@@ -304,3 +322,23 @@
                 {.answered = true, .sent = true, .done = true});
     }
 }
+
+// A tick without a placement round takes little time. Guards against spacing
+// the next round by such a tick: with rounds that take longer than the shortest
+// period, an owner did nothing else.
+TEST_F(owner_order, placement_rounds_are_spaced_by_their_own_duration) {
+    constexpr millis ROUND_TIME{20};
+    now_ms += 1000;
+    submit("first");
+    tick_for(ROUND_TIME);
+    ASSERT_EQ(output.starts.size(), 1U);
+    const std::int64_t round_end_ms = now_ms;
+    tick_for(millis(0));
+    submit("second");
+    now_ms = round_end_ms + ROUND_TIME.count();
+    tick_for(millis(0));
+    EXPECT_EQ(output.starts.size(), 1U) << "rounds take over half of the time";
+    now_ms = round_end_ms + 2 * ROUND_TIME.count();
+    tick_for(millis(0));
+    EXPECT_EQ(output.starts.size(), 2U);
+}
