Owner: look only at jobs with repeats for due times

Each tick, and each search for the time of the next one, looked up every live job to see whether a repeat was due. Only jobs with repeats can have one; the others start when they are accepted.

Change: the owner keeps the live jobs with repeats apart.

--- a/src/dispatch/owner_base.cpp
+++ b/src/dispatch/owner_base.cpp
@@ -135,12 +135,18 @@
     return true;
 }
 
+void owner::add_live_job(const job_entry& job) {
+    live_jobs_.insert(job.record.id);
+    if (job.record.spec.repeats > 0)
+        repeating_jobs_.insert(job.record.id);
+}
+
 void owner::job_accepted(job_record record, const owner_clock& clock) {
     const job_id id = record.id;
     if (!jobs_.accept(std::move(record)))
         return;
-    live_jobs_.insert(id);
     job_entry& job = *jobs_.find(id);
+    add_live_job(job);
     job.over_rate = !consume_rate_credit(job.record);
     jobs_.start_due_repeats(job, clock.wall_ms, clock.now);
     schedule_due_ = true;
@@ -171,7 +177,7 @@
 
 void owner::restore_job(job_entry job, const owner_clock& clock) {
     if (!job.ended())
-        live_jobs_.insert(job.record.id);
+        add_live_job(job);
     const job_id id = job.record.id;
     jobs_.restore(std::move(job), clock.now);
     suspects_.job_restored(id);
@@ -243,7 +249,7 @@
 }
 
 void owner::start_due_repeats(const owner_clock& clock) {
-    for (const job_id& id : live_jobs_) {
+    for (const job_id& id : repeating_jobs_) {
         job_entry& job = *jobs_.find(id);
         if (job_table::next_due_ms(job) > clock.wall_ms)
             continue;
@@ -326,6 +332,7 @@
         const job_entry* job = jobs_.find(id);
         if (job == nullptr || live_jobs_.erase(id) == 0)
             continue;
+        repeating_jobs_.erase(id);
         advice_.remove(id);
         output_.log(
             "job_ended", id,
@@ -373,7 +380,7 @@
     for (const auto& [id, target] : targets_.all())
         if (!target.poll_pending && target.listed)
             due = std::min(due, target.next_poll);
-    for (const job_id& id : live_jobs_) {
+    for (const job_id& id : repeating_jobs_) {
         const std::int64_t next = job_table::next_due_ms(*jobs_.find(id));
         if (next == std::numeric_limits<std::int64_t>::max())
             continue;
--- a/src/dispatch/owner_base.hpp
+++ b/src/dispatch/owner_base.hpp
@@ -213,6 +213,7 @@
     // owner_base.cpp
     [[nodiscard]] bool may_send_orders(mono_time now) const;
     [[nodiscard]] target_address address_of(const target_state& t) const;
+    void add_live_job(const job_entry& job);
     void start_due_repeats(const owner_clock& clock);
     void purge_expired(const owner_clock& clock);
     void store_changes();
@@ -364,6 +365,8 @@
     crash_suspects suspects_;
     /** Jobs that have not ended, or whose end is not stored yet. */
     std::set<job_id> live_jobs_;
+    /** Live jobs that start repeats at times of their own. */
+    std::set<job_id> repeating_jobs_;
     /** Jobs whose end the pending `store` call records. */
     std::vector<job_id> job_ends_in_store_call_;
     /** Token bucket for the submission rate of an organisation. */
