Owner: leave time for events between long ticks

Each event asks for a tick, and a round of the event loop handles one event, so there was a tick for nearly each answer of a target. A tick looks at all targets and live jobs.

Change: after a tick the next one waits for twice the tick's duration, 50 ms at most. Events in between share it. A delay below a millisecond is left out, so small cells tick as before.

tick_pacer.long_ticks_leave_time_for_events states the bound, of the class alone; the class is new, so it has not been seen to fail.

--- a/src/front/owner_service.cpp
+++ b/src/front/owner_service.cpp
@@ -358,16 +358,22 @@
 void owner_service::schedule_tick() {
     if (!serving_ || std::exchange(tick_scheduled_, true))
         return;
-    context_.loop.defer(guarded([this] { tick(); }));
+    const millis delay = tick_pacer_.delay(event_loop::now_micros());
+    if (delay > millis(0))
+        context_.loop.after(delay, guarded([this] { tick(); }));
+    else
+        context_.loop.defer(guarded([this] { tick(); }));
 }
 
 void owner_service::tick() {
     tick_scheduled_ = false;
     context_.delegates.set_target_count(owner_.targets().all().size());
+    const std::int64_t begin_us = event_loop::now_micros();
     const mono_time started_at = event_loop::now();
     owner_.tick(clock());
     const mono_time now = event_loop::now();
     owner_.tick_took(now - started_at, now);
+    tick_pacer_.ticked(begin_us, event_loop::now_micros());
     if (owner_.superseded())
         return context_.members.handle_fenced();
     arm_timer();
--- a/src/front/owner_service.hpp
+++ b/src/front/owner_service.hpp
@@ -3,6 +3,7 @@
 
 #include "base/metrics_base.hpp"
 #include "dispatch/owner_base.hpp"
+#include "dispatch/tick_pacer.hpp"
 #include "front/delegate_service.hpp"
 #include "front/member_service.hpp"
 #include "front/progress_writer.hpp"
@@ -119,7 +120,10 @@
                            std::function<void()> done);
     /** Current time; reports a suspension of this host to the owner. */
     [[nodiscard]] dispatch::owner_clock clock();
-    /** Schedules one tick for all events of this round of the event loop. */
+    /**
+     * Schedules one tick for all events until then, in this round of the event
+     * loop unless the last tick took long.
+     */
     void schedule_tick();
     void tick();
     /** Sets the timer for the next tick without an event. */
@@ -145,6 +149,7 @@
     dispatch::adaptive_timeout start_timeout_;
     bool serving_ = false;
     bool tick_scheduled_ = false;
+    dispatch::tick_pacer tick_pacer_;
     long timer_ = 0;
     mono_time timer_due_{};
     millis last_total_suspended_{0};
