Metrics: delay of the event loop and duration of the owner's ticks

That the owners of a large cell were short of time could be told only with a changed program. Two histograms show it now: how late the periodic checks of a process run, and how long each tick of the owner takes. Covered by front_process_test.metrics_show_ticks_and_the_delay_of_the_loop.

--- a/src/front/front_service.cpp
+++ b/src/front/front_service.cpp
@@ -26,6 +26,7 @@
 /** If the owner has answered within this time, it is asked again. */
 constexpr millis OWNER_HEARD_AGE{300};
 constexpr millis CHECK_PERIOD{200};
+constexpr std::int64_t MICROS_PER_MILLI = 1'000;
 /** The load balancer removes a host after two failed checks, 1 s apart. */
 constexpr millis BALANCER_DETECTION_TIME{2200};
 constexpr millis SHUTDOWN_POLL_PERIOD{100};
@@ -154,6 +155,8 @@
         });
     members_.start();
     operator_follower_.start();
+    checks_due_us_ =
+        event_loop::now_micros() + CHECK_PERIOD.count() * MICROS_PER_MILLI;
     loop_.every(CHECK_PERIOD, [this] { run_periodic_checks(); });
     log_event(log_level::info, "started",
               {{"host", settings_.host.value},
@@ -362,6 +365,10 @@
 }
 
 void front_service::run_periodic_checks() {
+    const std::int64_t now_us = event_loop::now_micros();
+    metrics_.histogram("rattan_loop_delay_micros")
+        .record(std::max<std::int64_t>(0, now_us - checks_due_us_));
+    checks_due_us_ = now_us + CHECK_PERIOD.count() * MICROS_PER_MILLI;
     shed_idle_connections();
     const bool needed =
         owner_silent() && is_state_reader(members_.members(), settings_.host);
--- a/src/front/front_service.hpp
+++ b/src/front/front_service.hpp
@@ -166,6 +166,8 @@
     std::unique_ptr<http_server> readiness_server_;
     std::unique_ptr<http_server> metrics_server_;
     mono_time could_store_at_{}; ///< When `can_store` last held.
+    /** When the next periodic checks are due, on the clock of the loop. */
+    std::int64_t checks_due_us_ = 0;
     bool shutting_down_ = false;
 };
 
--- a/src/front/owner_service.cpp
+++ b/src/front/owner_service.cpp
@@ -373,7 +373,10 @@
     owner_.tick(clock());
     const mono_time now = event_loop::now();
     owner_.tick_took(now - started_at, now);
-    tick_pacer_.ticked(begin_us, event_loop::now_micros());
+    const std::int64_t end_us = event_loop::now_micros();
+    tick_pacer_.ticked(begin_us, end_us);
+    context_.metrics.histogram("rattan_owner_tick_micros")
+        .record(end_us - begin_us);
     if (owner_.superseded())
         return context_.members.handle_fenced();
     arm_timer();
--- a/tests/process_front_test.cpp
+++ b/tests/process_front_test.cpp
@@ -272,6 +272,18 @@
     EXPECT_EQ(audit_count("starts"), 27);
 }
 
+// Guards against an owner without time for its events that no metric shows: the
+// cause of late heartbeats could be told only with a changed program.
+TEST_F(front_process_test, metrics_show_ticks_and_the_delay_of_the_loop) {
+    const std::string metrics =
+        send_http_request({.url = "http://" + network_prefix_ +
+                                  std::to_string(owner_host()) +
+                                  ":9464/metrics"})
+            .body;
+    EXPECT_NE(metrics.find("rattan_owner_tick_micros"), std::string::npos);
+    EXPECT_NE(metrics.find("rattan_loop_delay_micros"), std::string::npos);
+}
+
 TEST_F(front_process_test, invalid_requests_get_specific_statuses) {
     EXPECT_EQ(call("POST", job_name(1), 1, "{}", "no-key").status, 401);
     EXPECT_EQ(call("POST", job_name(1), 1, "not json").status, 400);
