Owner: split the polls of targets by their parts

Restarts, leases and the speed of targets have files of their own now; the functions and constants are moved unchanged.

--- a/src/dispatch/owner_base.hpp
+++ b/src/dispatch/owner_base.hpp
@@ -270,29 +270,6 @@
      * pending.
      */
     void poll_concurrently(target_state& target, const owner_clock& clock);
-    /**
-     * Adds the progress of a run since the last poll to the health of its
-     * target.
-     */
-    void record_progress(target_state& target, run_entry& run,
-                         const listed_run& listed);
-    /**
-     * Avoids a target that works too slowly and moves its tasks if it is
-     * stalled. Stragglers are moved from any target.
-     */
-    void assess_speed(target_state& target, const owner_clock& clock);
-    /**
-     * Stops the selected runs so that their tasks restart on other targets.
-     * Each task is moved at most once.
-     */
-    void move_runs(target_state& target, const owner_clock& clock,
-                   const std::function<bool(const step_entry&,
-                                            const run_entry&)>& selected);
-    /**
-     * Moves runs that take much longer than the completed ones of their step.
-     */
-    void move_stragglers(target_state& target, const owner_clock& clock);
-    [[nodiscard]] bool too_many_degraded() const;
     void send_poll(target_state& target, const owner_clock& clock);
     void process_end(target_state& target, const listed_end& end,
                      const owner_clock& clock);
@@ -300,6 +277,8 @@
                          mono_time sent_at, const owner_clock& clock);
     void process_listed_run(target_state& target, const listed_run& run,
                             const owner_clock& clock);
+
+    // owner_restart.cpp
     /** Takes another process for the newest one of a target. */
     void replace_process(target_state& target, std::int64_t incarnation,
                          const owner_clock& clock);
@@ -318,6 +297,8 @@
                                                mono_time now);
     /** Tells whether a start was sent and may still be carried out. */
     [[nodiscard]] static bool start_outstanding(const target_state& target);
+
+    // owner_lease.cpp
     /** Time by which a lease ends that any process of a target receives now. */
     [[nodiscard]] mono_time latest_lease_end(mono_time now) const;
     void grant_lease(target_state& target, std::int64_t lease_end_ms,
@@ -325,6 +306,31 @@
     [[nodiscard]] bool run_expired(const target_state& target,
                                    const run_entry& run, mono_time now) const;
     void expire_runs(target_state& target, const owner_clock& clock);
+
+    // owner_speed.cpp
+    /**
+     * Adds the progress of a run since the last poll to the health of its
+     * target.
+     */
+    void record_progress(target_state& target, run_entry& run,
+                         const listed_run& listed);
+    /**
+     * Avoids a target that works too slowly and moves its tasks if it is
+     * stalled. Stragglers are moved from any target.
+     */
+    void assess_speed(target_state& target, const owner_clock& clock);
+    /**
+     * Stops the selected runs so that their tasks restart on other targets.
+     * Each task is moved at most once.
+     */
+    void move_runs(target_state& target, const owner_clock& clock,
+                   const std::function<bool(const step_entry&,
+                                            const run_entry&)>& selected);
+    /**
+     * Moves runs that take much longer than the completed ones of their step.
+     */
+    void move_stragglers(target_state& target, const owner_clock& clock);
+    [[nodiscard]] bool too_many_degraded() const;
     void throttle_best_effort(target_state& target);
     void send_speed(target_state& target, const task_id& task, run_entry& run);
 
