--- a/review/standin-2/case_many_ends.cpp
+++ b/review/standin-2/case_many_ends.cpp
@@ -10,10 +10,10 @@
 namespace {
 
 constexpr int HOSTS = 3;
-constexpr int JOBS = 12;
+constexpr int JOBS = 20;
 constexpr int TASKS_PER_JOB = 100;
-constexpr int TASK_MILLI_CORES = 50;
-constexpr int TASK_MEMORY_MIB = 64;
+constexpr int TASK_MILLI_CORES = 30;
+constexpr int TASK_MEMORY_MIB = 50;
 /** The tasks of all jobs end within this time. */
 constexpr int END_SPREAD_MS = 800;
 constexpr int WORK_MS = 9000;
--- a/review/standin-2/model_store.hpp
+++ b/review/standin-2/model_store.hpp
@@ -15,7 +15,8 @@
 
 /** Times of the store, as in the sheet and the settings of a deployment. */
 struct store_times {
-    rattan::millis answer{4};
+    /** 4 ms, and the way there and back between zones. */
+    rattan::millis answer{7};
     rattan::millis append{3}; ///< A partition takes one append at a time.
 };
 
--- a/review/standin-2/model_target.cpp
+++ b/review/standin-2/model_target.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr millis TICK_PERIOD{2};
+/** The way there and back between zones, 1.4 ms each. */
+constexpr millis ROUND_TRIP{3};
 const std::string INSTANCE_HEADER = "X-Rattanknot-Target-Instance";
 
 } // namespace
@@ -86,14 +88,17 @@
 }
 
 void model_target::serve() {
+    const auto serve_one = [this](const http_request& request,
+                                  const http_server::responder& answer) {
+        handle(request, [this, answer](const http_response& response) {
+            loop_.after(ROUND_TRIP, [answer, response] { answer(response); });
+        });
+    };
     server_ = std::make_unique<http_server>(
         loop_, address_,
         rattan::http_limits{.connections = 500,
                             .captured_headers = {INSTANCE_HEADER}},
-        [this](const http_request& request,
-               const http_server::responder& answer) {
-            handle(request, answer);
-        });
+        serve_one);
 }
 
 void model_target::set_cut(bool cut) {
