Owner: release runs only by lists of ends that are whole

Callers' tasks ran again after they had succeeded: a target lists 500 ends at once, and a new owner took each inherited run for gone that was neither running nor among them. The phases unconfirmed (a restart) and stopping drew the same conclusion; only running did not.

Every end is still listed later, since the first ones are acknowledged once stored, so no run is kept for ever.

--- a/src/dispatch/order_type.hpp
+++ b/src/dispatch/order_type.hpp
@@ -65,6 +65,8 @@
     bool concurrent = false; ///< As in the order.
     /** False: runs may exist that `running` does not contain. */
     bool complete = true;
+    /** False: runs may have ended whose ends `ended` does not contain. */
+    bool ends_complete = true;
     std::int64_t incarnation = 0;
     std::vector<listed_run> running;
     std::vector<listed_end> ended;
--- a/src/dispatch/owner_base.hpp
+++ b/src/dispatch/owner_base.hpp
@@ -277,6 +277,14 @@
                          mono_time sent_at, const owner_clock& clock);
     void process_listed_run(target_state& target, const listed_run& run,
                             const owner_clock& clock);
+    /**
+     * Releases the runs that have ended, as a complete answer shows.
+     * @param listed The runs in the answer.
+     * @param sent_at When the poll was sent.
+     */
+    void release_unlisted_runs(target_state& target,
+                               const std::set<task_id>& listed,
+                               mono_time sent_at);
 
     // owner_restart.cpp
     /** Takes another process for the newest one of a target. */
--- a/src/dispatch/owner_poll.cpp
+++ b/src/dispatch/owner_poll.cpp
@@ -25,8 +25,6 @@
 constexpr millis LEASE_RENEWAL_PERIOD{800};
 /** A target needs longer than this to restart, start a run and end it. */
 constexpr millis MIN_RESTART_TIME{100};
-/** Ends that a target lists in one answer. */
-constexpr std::size_t MAX_LISTED_ENDS = 500;
 /**
  * A run that is still reported this long after it should have stopped is
  * stopped again.
@@ -217,11 +215,24 @@
         process_listed_run(target, run, clock);
         suspects_.run_listed(target, run);
     }
-    if (!answer.complete)
-        return; // A run that is not listed may exist.
+    if (!answer.ends_complete)
+        output_.log("ends_cut_off", {},
+                    "target=" + target.entry.id.value +
+                        " last=" + std::to_string(target.last_applied_end) +
+                        " runs=" + std::to_string(target.runs.size()));
+    // Otherwise a run that is not listed may exist, or a later answer may list
+    // its end.
+    if (answer.complete && answer.ends_complete)
+        release_unlisted_runs(target, present, sent_at);
+    stop_unanswered_starts(target, clock);
+}
+
+void owner::release_unlisted_runs(target_state& target,
+                                  const std::set<task_id>& listed,
+                                  mono_time sent_at) {
     std::vector<task_id> gone;
     for (auto& [task, run] : target.runs) {
-        if (present.contains(task))
+        if (listed.contains(task))
             continue;
         switch (run.phase) {
         case run_phase::inherited:
@@ -242,8 +253,7 @@
             // Its end was acknowledged unread, by a poll that was meant for an
             // earlier process.
             if (sent_at <= run.started ||
-                target.incarnation_since == mono_time{} ||
-                answer.ended.size() >= MAX_LISTED_ENDS)
+                target.incarnation_since == mono_time{})
                 break;
             output_.log("run_vanished", task.step.job,
                         "target=" + target.entry.id.value +
@@ -257,7 +267,6 @@
     }
     for (const task_id& task : gone)
         release_run(target, task);
-    stop_unanswered_starts(target, clock);
 }
 
 void owner::process_listed_run(target_state& target, const listed_run& listed,
--- a/tests/dispatch_world.cpp
+++ b/tests/dispatch_world.cpp
@@ -20,6 +20,7 @@
 constexpr millis START_DELAY{3000};
 /** After which the entry of a target that has crashed is removed. */
 constexpr millis LIST_TIMEOUT{1500};
+constexpr std::size_t MAX_LISTED_ENDS = 500; ///< In one answer to a poll.
 const std::string SERVICE = "pool";
 
 /** A ticket is valid for one process of a target. */
@@ -508,9 +509,15 @@
              .percent = static_cast<std::int32_t>(
                  100 * (now_ - run.started_at) /
                  std::max<std::int64_t>(1, run.ends_at - run.started_at))});
-    for (const listed_end& end : target.ended)
-        if (end.sequence > order.last_seen)
-            answer.ended.push_back(end);
+    for (const listed_end& end : target.ended) {
+        if (end.sequence <= order.last_seen)
+            continue;
+        answer.ended.push_back(end);
+        if (answer.ended.size() == MAX_LISTED_ENDS) {
+            answer.ends_complete = false;
+            break;
+        }
+    }
     deliver_answer([this, id, answer, sent_at] {
         owner_->poll_answered(id, answer, sent_at, clock());
     });
