Owner: fencing tokens rise, so that late starts are void in a reached process

Callers' tasks ran on two targets: a start without an answer was carried out 9 s later by the next process of its target, 3.8 s after the owner had polled that process. The starts to stop were kept at the target's entry, which is removed once the list no longer shows it, and both processes got the same token.

Each claim now reserves a range of tokens (the epoch is its last one, so owners of versions before and after this one still supersede each other). The token of a target rises with a new entry, a new process, the first poll without an answer and each start without one. A process that has received any later order refuses the earlier ones; the list of starts and its stops are gone. A refusal of an earlier token no longer ends the ownership.

--- a/src/dispatch/order_type.hpp
+++ b/src/dispatch/order_type.hpp
@@ -43,6 +43,7 @@
     bool done = false; ///< The target carried out the order.
     order_refusal refusal = order_refusal::none;
     std::int64_t clock_ms = 0; ///< Clock of the target; 0: not in the answer.
+    std::int64_t fencing_token = 0; ///< Of the order.
 };
 
 /** Order that renews the lease of a target and asks for the runs on it. */
--- a/src/dispatch/owner_base.cpp
+++ b/src/dispatch/owner_base.cpp
@@ -66,7 +66,7 @@
 }
 
 owner::owner(const owner_settings& settings, owner_output& output)
-    : settings_(settings), output_(output),
+    : settings_(settings), output_(output), tokens_(settings.epoch),
       suspects_(jobs_, targets_,
                 [this](std::string_view event, const job_id& job,
                        const std::string& detail) {
@@ -93,6 +93,8 @@
                     !entry.capacity.fits_in(known->entry.capacity)))
         schedule_due_ = true;
     target_state& target = targets_.add_or_update(entry);
+    if (is_new)
+        raise_fencing_token(target);
     if (entry.incarnation > target.incarnation)
         replace_process(target, entry.incarnation, clock);
     // The read may lag, or the process may have started after its host's clock
@@ -213,6 +215,7 @@
                             {.id = task.target,
                              .incarnation = task.incarnation});
                         target->listed = false;
+                        raise_fencing_token(*target);
                     }
                     if (task.incarnation > target->incarnation)
                         replace_process(*target, task.incarnation, clock);
--- a/src/dispatch/owner_base.hpp
+++ b/src/dispatch/owner_base.hpp
@@ -3,6 +3,7 @@
 
 #include "dispatch/advice_table.hpp"
 #include "dispatch/crash_suspects.hpp"
+#include "dispatch/fencing_tokens.hpp"
 #include "dispatch/job_table.hpp"
 #include "dispatch/lease_type.hpp"
 #include "dispatch/route_type.hpp"
@@ -64,7 +65,7 @@
 
 /** Settings of an `owner`. */
 struct owner_settings {
-    std::int64_t epoch = 0; ///< Also the fencing token of its orders.
+    std::int64_t epoch = 0; ///< Also the last fencing token of its orders.
     /** Lease that each poll renews; a target ends its runs when it expires. */
     millis lease{3500};
     /** Targets shorten longer leases to this. */
@@ -175,7 +176,10 @@
     /** Time at which `tick` has to be called even if no event occurs. */
     [[nodiscard]] mono_time next_due(const owner_clock& clock) const;
 
-    /** A target refused an order because it has seen a newer owner. */
+    /**
+     * A target refused an order because it has seen a newer owner, or no
+     * fencing token is left.
+     */
     [[nodiscard]] bool superseded() const { return superseded_; }
 
     /** @name Queries. */
@@ -256,12 +260,6 @@
     void send_starts(const owner_clock& clock);
     void send_start(target_state& target, const task_id& task, run_entry& run,
                     const owner_clock& clock);
-    /**
-     * Remembers a start without an answer, which may still be carried out.
-     * @param present Whether the target still counts the run.
-     */
-    void note_unanswered_start(target_state& target, const task_id& task,
-                               std::int32_t run, bool present, mono_time now);
 
     // owner_poll.cpp
     void send_due_polls(const owner_clock& clock);
@@ -295,14 +293,16 @@
      * but the new process may have carried out their starts.
      */
     void handle_restart(target_state& target, const owner_clock& clock);
-    /** Stops a run that isn't there but whose start may still arrive. */
-    void stop_possible_run(target_state& target, const unanswered_start& start,
-                           const owner_clock& clock);
-    /** Stops the starts without an answer in the new process of a target. */
-    void stop_unanswered_starts(target_state& target, const owner_clock& clock);
-    /** Tells whether a start without an answer may still be carried out. */
-    [[nodiscard]] static bool start_may_arrive(const target_state& target,
-                                               mono_time now);
+    /**
+     * Raises the token of a target, so that orders sent before are void in each
+     * process that has received a later one.
+     */
+    void raise_fencing_token(target_state& target);
+    /**
+     * Tells whether a target refused an order because of its token. Gives up
+     * the ownership if that was the newest token.
+     */
+    bool refused_as_stale(const target_id& target, const order_answer& answer);
     /** Tells whether a start was sent and may still be carried out. */
     [[nodiscard]] static bool start_outstanding(const target_state& target);
 
@@ -373,6 +373,7 @@
     owner_output& output_;
     cell_config config_;
     std::set<data_centre_id> evacuated_;
+    fencing_tokens tokens_;
     job_table jobs_;
     target_table targets_;
     advice_table advice_;
--- a/src/dispatch/owner_poll.cpp
+++ b/src/dispatch/owner_poll.cpp
@@ -60,7 +60,7 @@
             return item.second.tail_latency_target.count() > 0;
         });
     millis wait{0};
-    if ((!target.runs.empty() || start_may_arrive(target, clock.now)) &&
+    if ((!target.runs.empty() || target.start_may_arrive(clock.now)) &&
         ends_stored && !run_state_unclear && target.responsive)
         wait = serving && target.best_effort_milli_cores > 0 ? SERVING_POLL_WAIT
                                                              : LONG_POLL_WAIT;
@@ -71,7 +71,7 @@
         target.responsive && target.restart_suspected == mono_time{} &&
         (!start_outstanding(target) ||
          clock.now - target.clock_received_at <= MIN_RESTART_TIME);
-    poll_order order{.fencing_token = settings_.epoch,
+    poll_order order{.fencing_token = target.fencing_token,
                      .last_seen =
                          ends_of_known_process ? target.last_stored_end : 0,
                      .wait = wait,
@@ -94,7 +94,7 @@
         return;
     }
     // The pending poll may be waiting for an end that never comes.
-    output_.poll(address_of(target), {.fencing_token = settings_.epoch,
+    output_.poll(address_of(target), {.fencing_token = target.fencing_token,
                                       .timeout = POLL_TIMEOUT_MARGIN,
                                       .concurrent = true});
 }
@@ -108,8 +108,8 @@
     const bool before_restart = sent_at <= target.incarnation_since;
     if (!answer.concurrent && sent_at >= target.poll_sent_at)
         target.poll_pending = false;
-    if (answer.order.refusal == order_refusal::stale_token) {
-        superseded_ = true;
+    if (refused_as_stale(id, answer.order)) {
+        target.next_poll = std::min(target.next_poll, clock.now);
         return;
     }
     // The regular poll of the newest process decides about the target.
@@ -118,6 +118,7 @@
     if (!answer.order.done) {
         if (std::exchange(target.responsive, false)) {
             target.silent_since = clock.now;
+            raise_fencing_token(target);
             output_.log("target_silent", {}, "target=" + id.value);
         }
         target.next_poll =
@@ -167,7 +168,7 @@
         target.next_poll = clock.now + LEASE_RENEWAL_PERIOD;
     else if (!answer.ended.empty())
         target.next_poll = clock.now;
-    else if (target.runs.empty() && !start_may_arrive(target, clock.now))
+    else if (target.runs.empty() && !target.start_may_arrive(clock.now))
         target.next_poll = clock.now + IDLE_POLL_PERIOD;
     else
         target.next_poll = clock.now;
@@ -189,13 +190,14 @@
     const task_entry* task = jobs_.find(end.task);
     if (known && task != nullptr && task->phase == task_phase::placed &&
         task->target == target.entry.id && task->run > end.run)
-        stop_possible_run(target,
-                          {.task = end.task,
-                           .run = task->run,
-                           .demand = run.demand,
-                           .best_effort = run.best_effort,
-                           .organisation = run.organisation},
-                          clock);
+        request_stop(target, end.task,
+                     targets_.add_run(target, end.task,
+                                      {.run = task->run,
+                                       .demand = run.demand,
+                                       .best_effort = run.best_effort,
+                                       .organisation = run.organisation,
+                                       .phase_since = clock.now,
+                                       .start_uncertain = true}));
     update_backoff(target, end, clock);
     const step_spec* spec = jobs_.spec(end.task.step);
     // A task may be too short for progress samples; its end in time shows as
@@ -224,7 +226,6 @@
     // its end.
     if (answer.complete && answer.ends_complete)
         release_unlisted_runs(target, present, sent_at);
-    stop_unanswered_starts(target, clock);
 }
 
 void owner::release_unlisted_runs(target_state& target,
--- a/src/dispatch/owner_restart.cpp
+++ b/src/dispatch/owner_restart.cpp
@@ -6,13 +6,6 @@
 
 namespace rattan::dispatch {
 
-namespace {
-
-/** An order without an answer may be carried out until this much later. */
-constexpr millis MAX_ORDER_DELAY{15'000};
-
-} // namespace
-
 void owner::replace_process(target_state& target, std::int64_t incarnation,
                             const owner_clock& clock) {
     if (target.incarnation != 0)
@@ -46,9 +39,9 @@
             break;
         }
     }
-    stop_unanswered_starts(target, clock);
     advice_.drop_tickets(target.entry.id);
     target.incarnation_since = clock.now;
+    raise_fencing_token(target);
     target.restart_suspected = {};
     target.last_applied_end = 0;
     target.last_stored_end = 0;
@@ -63,39 +56,19 @@
     schedule_due_ = true;
 }
 
-void owner::stop_possible_run(target_state& target,
-                              const unanswered_start& start,
-                              const owner_clock& clock) {
-    run_entry& run = targets_.add_run(target, start.task,
-                                      {.run = start.run,
-                                       .demand = start.demand,
-                                       .best_effort = start.best_effort,
-                                       .organisation = start.organisation,
-                                       .phase_since = clock.now,
-                                       .start_uncertain = true});
-    request_stop(target, start.task, run);
+void owner::raise_fencing_token(target_state& target) {
+    target.fencing_token = tokens_.next();
+    if (tokens_.exhausted())
+        superseded_ = true;
 }
 
-void owner::stop_unanswered_starts(target_state& target,
-                                   const owner_clock& clock) {
-    std::erase_if(target.unanswered_starts, [&](const unanswered_start& start) {
-        return clock.now - start.sent_at > MAX_ORDER_DELAY;
-    });
-    for (unanswered_start& start : target.unanswered_starts) {
-        if (start.stopped_in == target.incarnation ||
-            target.runs.contains(start.task))
-            continue;
-        start.stopped_in = target.incarnation;
-        stop_possible_run(target, start, clock);
-    }
-}
-
-bool owner::start_may_arrive(const target_state& target, mono_time now) {
-    return std::any_of(target.unanswered_starts.begin(),
-                       target.unanswered_starts.end(),
-                       [&](const unanswered_start& start) {
-                           return now - start.sent_at <= MAX_ORDER_DELAY;
-                       });
+bool owner::refused_as_stale(const target_id& id, const order_answer& answer) {
+    if (answer.refusal != order_refusal::stale_token)
+        return false;
+    const target_state* target = targets_.find(id);
+    if (target != nullptr && answer.fencing_token == target->fencing_token)
+        superseded_ = true;
+    return true;
 }
 
 bool owner::start_outstanding(const target_state& target) {
--- a/src/dispatch/owner_speed.cpp
+++ b/src/dispatch/owner_speed.cpp
@@ -141,14 +141,13 @@
                        run_entry& run) {
     run.speed_order_pending = true;
     output_.throttle(address_of(target), task, run.run, run.speed_percent,
-                     settings_.epoch);
+                     target.fencing_token);
 }
 
 void owner::throttle_answered(const target_id& id, const task_id& task,
                               std::int32_t run_number, int percent,
                               const order_answer& answer) {
-    if (answer.refusal == order_refusal::stale_token)
-        superseded_ = true;
+    refused_as_stale(id, answer);
     target_state* target = targets_.find(id);
     if (target == nullptr)
         return;
--- a/src/dispatch/owner_start.cpp
+++ b/src/dispatch/owner_start.cpp
@@ -68,39 +68,13 @@
                                        .checkpoint = entry->checkpoint,
                                        .ticket = run.ticket,
                                        .lease_end_ms = lease_end_ms,
-                                       .fencing_token = settings_.epoch});
-}
-
-void owner::note_unanswered_start(target_state& target, const task_id& task,
-                                  std::int32_t run, bool present,
-                                  mono_time now) {
-    const task_entry* entry = jobs_.find(task);
-    const bool carried_out =
-        present ? target.runs.at(task).phase == run_phase::running
-                : entry != nullptr && entry->run == run &&
-                      entry->phase == task_phase::done;
-    if (carried_out)
-        return;
-    const step_spec* spec = jobs_.spec(task.step);
-    const job_entry* job = jobs_.find(task.step.job);
-    target.unanswered_starts.push_back(
-        {.task = task,
-         .run = run,
-         // A run that was released has been stopped, perhaps in the process
-         // before.
-         .stopped_in = present ? target.incarnation : 0,
-         .demand = spec != nullptr ? spec->demand : resources{},
-         .best_effort = spec != nullptr && spec->best_effort,
-         .organisation =
-             job != nullptr ? job->record.organisation : organisation_id{},
-         .sent_at = now});
+                                       .fencing_token = target.fencing_token});
 }
 
 void owner::start_answered(const target_id& id, const task_id& task,
                            std::int32_t run_number, const order_answer& answer,
                            const owner_clock& clock) {
-    if (answer.refusal == order_refusal::stale_token)
-        superseded_ = true;
+    refused_as_stale(id, answer);
     target_state* target = targets_.find(id);
     if (target == nullptr)
         return;
@@ -112,8 +86,10 @@
     const bool present =
         found != target->runs.end() && found->second.run == run_number;
     const bool unanswered = answer.sent && !answer.answered;
-    if (unanswered)
-        note_unanswered_start(*target, task, run_number, present, clock.now);
+    if (unanswered) {
+        raise_fencing_token(*target);
+        target->start_unanswered_at = clock.now;
+    }
     if (!present)
         return;
     run_entry& run = found->second;
--- a/src/dispatch/owner_stop.cpp
+++ b/src/dispatch/owner_stop.cpp
@@ -53,7 +53,8 @@
         if (target->responsive && !awaiting_answer) {
             entry.stop_sent = true;
             entry.phase_since = clock.now;
-            output_.stop(address_of(*target), task, entry.run, settings_.epoch);
+            output_.stop(address_of(*target), task, entry.run,
+                         target->fencing_token);
         }
         ++position;
     }
@@ -62,8 +63,7 @@
 void owner::stop_answered(const target_id& id, const task_id& task,
                           std::int32_t run_number, const order_answer& answer,
                           const owner_clock& clock) {
-    if (answer.refusal == order_refusal::stale_token)
-        superseded_ = true;
+    refused_as_stale(id, answer);
     target_state* target = targets_.find(id);
     if (target == nullptr)
         return;
--- a/src/dispatch/target_table.hpp
+++ b/src/dispatch/target_table.hpp
@@ -66,17 +66,8 @@
     std::int64_t sequence = 0;
 };
 
-/** A start order without an answer, which may be carried out later. */
-struct unanswered_start {
-    task_id task;
-    std::int32_t run = 0;
-    /** Newest process of the target that is told to stop the run. */
-    std::int64_t stopped_in = 0;
-    resources demand;
-    bool best_effort = false;
-    organisation_id organisation;
-    mono_time sent_at{};
-};
+/** An order without an answer may be carried out until this much later. */
+constexpr millis MAX_ORDER_DELAY{15'000};
 
 /** A target as seen by the owner. */
 struct target_state {
@@ -87,6 +78,12 @@
      * list may still describe an earlier one.
      */
     std::int64_t incarnation = 0;
+    /**
+     * Token of the orders to this target. It rises with each new process and
+     * once a start or a poll has no answer: whichever process has received a
+     * later order refuses the earlier ones.
+     */
+    std::int64_t fencing_token = 0;
     /** When that process became known. */
     mono_time incarnation_since{};
     /**
@@ -95,8 +92,8 @@
      */
     mono_time restart_suspected{};
     std::map<task_id, run_entry> runs;
-    /** Kept after their stops were confirmed, for the next process. */
-    std::vector<unanswered_start> unanswered_starts;
+    /** When the last start without an answer became known; zero: never. */
+    mono_time start_unanswered_at{};
     resources allocated; ///< Without the processors of best-effort tasks.
     /** Requested by best-effort tasks. */
     std::int64_t best_effort_milli_cores = 0;
@@ -148,6 +145,12 @@
         return entry.capacity - allocated;
     }
 
+    /** Tells whether a start without an answer may still be carried out. */
+    [[nodiscard]] bool start_may_arrive(mono_time now) const {
+        return start_unanswered_at != mono_time{} &&
+               now - start_unanswered_at <= MAX_ORDER_DELAY;
+    }
+
     /** Tells whether the list describes the newest process known. */
     [[nodiscard]] bool entry_current() const {
         return entry.incarnation == 0 || entry.incarnation == incarnation;
--- a/src/front/member_service.cpp
+++ b/src/front/member_service.cpp
@@ -1,6 +1,7 @@
 #include "front/member_service.hpp"
 
 #include "base/log_func.hpp"
+#include "dispatch/fencing_tokens.hpp"
 #include "net/thrift_codec.hpp"
 
 #include <algorithm>
@@ -309,7 +310,8 @@
     const bool same_epoch = owner.epoch == owner_.epoch;
     if (!same_epoch) {
         handover_.reset();
-        if (owner_.leases && owner.epoch == owner_.epoch + 1)
+        if (owner_.leases &&
+            owner.epoch == owner_.epoch + dispatch::TOKENS_PER_CLAIM)
             handover_ = received_handover{.leases = *owner_.leases,
                                           .received_at = owner_changed_at_};
     }
@@ -493,14 +495,14 @@
 
 void member_service::append_claim() {
     claim_pending_ = true;
-    log_event(log_level::info, "owner_claimed",
-              {{"epoch", std::to_string(owner_.epoch + 1)},
-               {"silent_ms", std::to_string(owner_age().count())},
-               {"refused", std::to_string(refused_connections_)}});
-    const owner_record claim{.epoch = owner_.epoch + 1,
+    const owner_record claim{.epoch = owner_.epoch + dispatch::TOKENS_PER_CLAIM,
                              .host = settings_.host,
                              .address = own_address_,
                              .incarnation = incarnation_};
+    log_event(log_level::info, "owner_claimed",
+              {{"epoch", std::to_string(claim.epoch)},
+               {"silent_ms", std::to_string(owner_age().count())},
+               {"refused", std::to_string(refused_connections_)}});
     store_.append({.topic = CLAIMS_TOPIC,
                    .records = {{.key = OWNER_KEY,
                                 .value = dispatch::encode_owner(claim)}},
--- a/tests/dispatch_world.cpp
+++ b/tests/dispatch_world.cpp
@@ -16,8 +16,8 @@
 constexpr int TARGETS_PER_RACK = 8;
 constexpr std::int64_t MEMORY_MIB = 1 << 20;
 constexpr millis START_TIMEOUT{350}; ///< For the answer to a start order.
-/** After which a delayed order is carried out. */
-constexpr millis START_DELAY{3000};
+/** After which a delayed poll is carried out. */
+constexpr millis POLL_DELAY{3000};
 /** After which the entry of a target that has crashed is removed. */
 constexpr millis LIST_TIMEOUT{1500};
 constexpr std::size_t MAX_LISTED_ENDS = 500; ///< In one answer to a poll.
@@ -224,6 +224,7 @@
 void simulated_cell::start(const target_address& address,
                            const start_order& order) {
     ++starts_;
+    const int life = targets_[static_cast<size_t>(index_of(address.id))].lives;
     const auto unanswered = [this, address, order, epoch = epoch_] {
         if (epoch != epoch_)
             return;
@@ -233,30 +234,32 @@
     };
     if (std::bernoulli_distribution(delayed_start_share_)(random_)) {
         after(START_TIMEOUT, unanswered);
-        after(START_DELAY, [this, address, order] {
+        after(start_delay_, [this, address, order, life] {
             if (answers(address.id))
-                deliver_start(address, order, start_answer::timed_out);
+                deliver_start(address, order, start_answer::timed_out, life);
         });
         return;
     }
     const start_answer answer =
         drop_start_answers_ ? start_answer::lost : start_answer::arrives;
     after(options_.order_latency / 2,
-          [this, address, order, unanswered, answer] {
+          [this, address, order, unanswered, answer, life] {
               if (!answers(address.id))
                   after(START_TIMEOUT, unanswered);
               else
-                  deliver_start(address, order, answer);
+                  deliver_start(address, order, answer, life);
           });
 }
 
 void simulated_cell::deliver_start(const target_address& address,
                                    const start_order& order,
-                                   start_answer to_owner) {
+                                   start_answer to_owner, int sent_in_life) {
     const int index = index_of(address.id);
     fake_target& target = targets_[static_cast<size_t>(index)];
-    order_answer answer{
-        .answered = true, .sent = true, .clock_ms = clock_of(target)};
+    order_answer answer{.answered = true,
+                        .sent = true,
+                        .clock_ms = clock_of(target),
+                        .fencing_token = order.fencing_token};
     const step_spec& spec =
         accepted_.at(order.task.step.job)
             .spec.steps[static_cast<size_t>(order.task.step.step)];
@@ -273,6 +276,8 @@
         answer.refusal = order_refusal::invalid_ticket;
         ++starts_with_old_ticket_;
     } else {
+        if (sent_in_life != target.lives && target.reached)
+            ++starts_in_reached_process_;
         target.fencing_token = order.fencing_token;
         extend_lease(target, order.lease_end_ms);
         if (succeeded_.contains(order.task))
@@ -353,7 +358,7 @@
           [this, address, task, run, fencing_token] {
               fake_target& target =
                   targets_[static_cast<size_t>(index_of(address.id))];
-              order_answer answer{.sent = true};
+              order_answer answer{.sent = true, .fencing_token = fencing_token};
               if (answers(address.id) &&
                   fencing_token >= target.fencing_token && !ignore_stops_) {
                   answer.answered = true;
@@ -421,7 +426,7 @@
                 sent_at, clock());
             schedule_tick();
         });
-        after(START_DELAY, [this, index, order] {
+        after(POLL_DELAY, [this, index, order] {
             fake_target& target = targets_[static_cast<size_t>(index)];
             if (order.fencing_token < target.fencing_token)
                 return;
@@ -438,17 +443,19 @@
         if (!answers(id))
             return fail_poll(id, order, sent_at, order.timeout);
         if (order.fencing_token < target.fencing_token) {
-            deliver_answer([this, id, sent_at] {
+            deliver_answer([this, id, sent_at, token = order.fencing_token] {
                 owner_->poll_answered(
                     id,
                     {.order = {.answered = true,
                                .sent = true,
-                               .refusal = order_refusal::stale_token}},
+                               .refusal = order_refusal::stale_token,
+                               .fencing_token = token}},
                     sent_at, clock());
             });
             return;
         }
         target.fencing_token = order.fencing_token;
+        target.reached = true;
         extend_lease(target, order.lease_end_ms);
         acknowledge_ends(target, order.last_seen);
         if (!target.ended.empty() || order.wait.count() == 0)
@@ -499,7 +506,8 @@
     poll_answer answer{.order = {.answered = true,
                                  .sent = true,
                                  .done = true,
-                                 .clock_ms = clock_of(target)},
+                                 .clock_ms = clock_of(target),
+                                 .fencing_token = order.fencing_token},
                        .concurrent = order.concurrent,
                        .incarnation = target.entry.incarnation};
     for (const auto& [task, run] : target.runs)
@@ -600,7 +608,7 @@
 }
 
 void simulated_cell::begin_ownership(std::optional<lease_handover> handover) {
-    ++epoch_;
+    epoch_ += TOKENS_PER_CLAIM;
     pending_appends_.clear();
     owner_settings settings;
     settings.epoch = epoch_;
@@ -629,7 +637,8 @@
     }
     if (handover) {
         const std::string record =
-            encode_owner({.epoch = epoch_ - 1, .leases = std::move(handover)});
+            encode_owner({.epoch = epoch_ - TOKENS_PER_CLAIM,
+                          .leases = std::move(handover)});
         owner_->inherit_leases(*decode_owner(record).leases, clock().now);
     }
     owner_->take_over(clock());
@@ -688,6 +697,7 @@
     target.ended_at.clear();
     target.last_end = 0;
     target.fencing_token = 0;
+    target.reached = false;
     target.lease_end_ms = 0;
     target.lapsed_at = -1;
     target.clock_offset = -local_time();
--- a/tests/dispatch_world.hpp
+++ b/tests/dispatch_world.hpp
@@ -142,8 +142,11 @@
         task_slowdowns_[task] = factor;
     }
     void drop_start_answers(bool drop) { drop_start_answers_ = drop; }
-    /** This share of the start orders has no answer and arrives 3 s later. */
-    void delay_starts(double share) { delayed_start_share_ = share; }
+    /** This share of the start orders has no answer and arrives later. */
+    void delay_starts(double share, millis delay = millis(3000)) {
+        delayed_start_share_ = share;
+        start_delay_ = delay;
+    }
     /** Polls have no answer and arrive 3 s later. */
     void delay_polls(bool delay) { delay_polls_ = delay; }
     /** Stop orders have no answer and no effect. */
@@ -189,6 +192,13 @@
     }
     [[nodiscard]] int starts() const { return starts_; }
     [[nodiscard]] int polls() const { return polls_; }
+    /**
+     * Starts sent to an earlier process of their target that were carried out
+     * by one which had answered a poll.
+     */
+    [[nodiscard]] int starts_in_reached_process() const {
+        return starts_in_reached_process_;
+    }
     /** Starts with a ticket for an earlier process of their target. */
     [[nodiscard]] int starts_with_old_ticket() const {
         return starts_with_old_ticket_;
@@ -283,8 +293,9 @@
         /** Highest run number that may no longer start. */
         std::map<task_id, std::int32_t> stopped_runs;
         bool silent = false;
-        bool down = false; ///< Its process has ended.
-        int lives = 1;     ///< Processes so far.
+        bool down = false;    ///< Its process has ended.
+        int lives = 1;        ///< Processes so far.
+        bool reached = false; ///< The process has answered a poll.
         bool failing = false;
         bool refusing = false;
         double slowdown = 1;
@@ -316,9 +327,12 @@
         lost,      ///< It learns at once that there is no answer.
         timed_out, ///< It has learned so before.
     };
-    /** Delivers a start order to its target. */
+    /**
+     * Delivers a start order to its target.
+     * @param sent_in_life Process of the target when the order was sent.
+     */
     void deliver_start(const target_address& address, const start_order& order,
-                       start_answer to_owner);
+                       start_answer to_owner, int sent_in_life);
     void schedule_tick();
     void end_run(fake_target& target, task_id task, run_end how);
     void send_poll_answer(const target_id& target, const poll_order& order,
@@ -374,6 +388,7 @@
     bool config_withheld_ = false;
     bool drop_start_answers_ = false;
     double delayed_start_share_ = 0;
+    millis start_delay_{0};
     bool delay_polls_ = false;
     bool ignore_stops_ = false;
     std::map<task_id, double> task_slowdowns_;
@@ -403,6 +418,7 @@
     int starts_ = 0;
     int polls_ = 0;
     int starts_with_old_ticket_ = 0;
+    int starts_in_reached_process_ = 0;
     int removed_jobs_ = 0;
     std::set<job_id> stored_ends_;
     int ticks_ = 0;
--- a/tests/owner_order_test.cpp
+++ b/tests/owner_order_test.cpp
@@ -166,11 +166,38 @@
     std::int64_t now_ms = 1000;
     int stored_calls = 0;
     order_log output;
-    owner under_test{{.epoch = 3}, output};
+    owner under_test{{.epoch = 3 * TOKENS_PER_CLAIM}, output};
 };
 
 } // namespace
 
+// A start without an answer raises the token of its target, so that the target
+// refuses earlier orders. Guards against an owner that takes such a refusal for
+// that of a later owner and gives up.
+TEST_F(owner_order, refusal_of_an_earlier_token_keeps_the_ownership) {
+    accept("first", {.estimate = millis(1000)});
+    ASSERT_EQ(output.starts.size(), 1U);
+    const start_order start = output.starts[0];
+    const order_answer no_answer{.sent = true,
+                                 .fencing_token = start.fencing_token};
+    under_test.start_answered(TARGET, start.task, start.run, no_answer,
+                              clock());
+    answer_poll({});
+    const std::int64_t raised = output.polls.back().fencing_token;
+    EXPECT_GT(raised, start.fencing_token);
+    order_answer refused{.answered = true,
+                         .sent = true,
+                         .refusal = order_refusal::stale_token,
+                         .clock_ms = now_ms,
+                         .fencing_token = start.fencing_token};
+    under_test.poll_answered(TARGET, {.order = refused}, clock().now, clock());
+    under_test.stop_answered(TARGET, start.task, start.run, refused, clock());
+    EXPECT_FALSE(under_test.superseded());
+    refused.fencing_token = raised;
+    under_test.poll_answered(TARGET, {.order = refused}, clock().now, clock());
+    EXPECT_TRUE(under_test.superseded());
+}
+
 TEST_F(owner_order, malformed_entry_of_a_target_stops_new_work_only) {
     accept("first", {.estimate = millis(1000)});
     ASSERT_EQ(output.starts.size(), 1U);
@@ -197,7 +224,7 @@
     const start_order order = output.starts[0];
     confirm_start(order);
     order_log next_output;
-    owner next({.epoch = 4}, next_output);
+    owner next({.epoch = 4 * TOKENS_PER_CLAIM}, next_output);
     next.target_listed(entry(), clock());
     for (const auto& [id, job] : under_test.jobs().all())
         next.restore_job(job, clock());
@@ -296,7 +323,7 @@
     poll_with_tail_latency(serving, filler, 200);
     answer_speed(filler, 0, true);
     order_log next_output;
-    owner next({.epoch = 4}, next_output);
+    owner next({.epoch = 4 * TOKENS_PER_CLAIM}, next_output);
     next.target_listed(entry(), clock());
     for (const auto& [id, job] : under_test.jobs().all())
         next.restore_job(job, clock());
--- a/tests/restart_history_test.cpp
+++ b/tests/restart_history_test.cpp
@@ -113,6 +113,8 @@
            static_cast<std::size_t>(cell.starts_after_held_success()));
     report("overcommitted",
            static_cast<std::size_t>(cell.overcommitted_starts()));
+    report("in_reached_process",
+           static_cast<std::size_t>(cell.starts_in_reached_process()));
     for (const char* queue : {"direct", "advised"}) {
         const job_outcome result = cell.queue_result(queue);
         report(std::string("not_ended_") + queue,
