Owner: poll removed targets while a late start may reach their next process

Such a target is polled and its state kept for as long as a start may arrive. The owner's next wake-up takes these polls into account, and those of delisted targets with runs, which until now waited for another reason to wake.

--- a/src/dispatch/owner_base.cpp
+++ b/src/dispatch/owner_base.cpp
@@ -267,7 +267,7 @@
     if (clock.now < next_purge_)
         return;
     next_purge_ = clock.now + PURGE_PERIOD;
-    targets_.remove_delisted();
+    targets_.remove_delisted(clock.now);
     log_overdue_runs(clock);
     const std::int64_t cutoff_ms =
         clock.wall_ms - (settings_.state_retention + RETENTION_MARGIN).count();
@@ -381,7 +381,8 @@
     if (schedule_due_)
         due = std::min(due, next_schedule_);
     for (const auto& [id, target] : targets_.all())
-        if (!target.poll_pending && target.listed)
+        if (!target.poll_pending && !target.entry.address.empty() &&
+            target.needs_polls(clock.now))
             due = std::min(due, target.next_poll);
     for (const job_id& id : repeating_jobs_) {
         const std::int64_t next = job_table::next_due_ms(*jobs_.find(id));
--- a/src/dispatch/owner_poll.cpp
+++ b/src/dispatch/owner_poll.cpp
@@ -41,7 +41,7 @@
     for (auto& [id, target] : targets_.all()) {
         if (target.poll_pending || target.entry.address.empty())
             continue;
-        if (!target.listed && target.runs.empty())
+        if (!target.needs_polls(clock.now))
             continue;
         if (target.next_poll <= clock.now)
             send_poll(target, clock);
--- a/src/dispatch/target_table.cpp
+++ b/src/dispatch/target_table.cpp
@@ -32,10 +32,10 @@
         target->listed = false;
 }
 
-void target_table::remove_delisted() {
-    std::erase_if(targets_, [](const auto& item) {
+void target_table::remove_delisted(mono_time now) {
+    std::erase_if(targets_, [now](const auto& item) {
         const target_state& target = item.second;
-        return !target.listed && target.runs.empty() && !target.poll_pending;
+        return !target.poll_pending && !target.needs_polls(now);
     });
 }
 
--- a/src/dispatch/target_table.hpp
+++ b/src/dispatch/target_table.hpp
@@ -151,6 +151,15 @@
                now - start_unanswered_at <= MAX_ORDER_DELAY;
     }
 
+    /**
+     * Tells whether polls may still show something: a delisted target may be
+     * alive, and its next process has to be found before a late start arrives
+     * there.
+     */
+    [[nodiscard]] bool needs_polls(mono_time now) const {
+        return listed || !runs.empty() || start_may_arrive(now);
+    }
+
     /** Tells whether the list describes the newest process known. */
     [[nodiscard]] bool entry_current() const {
         return entry.incarnation == 0 || entry.incarnation == incarnation;
@@ -190,8 +199,8 @@
     /** Records that a target is no longer in the platform's list. */
     void mark_delisted(const target_id& id);
 
-    /** Removes delisted targets without runs. */
-    void remove_delisted();
+    /** Removes delisted targets that need not be polled any more. */
+    void remove_delisted(mono_time now);
 
     /**
      * Adds a run to a target and reserves its resources.
--- a/tests/dispatch_world.cpp
+++ b/tests/dispatch_world.cpp
@@ -734,7 +734,8 @@
         if (!options.keeps_id)
             back.entry.id = {target_name(index).value + "." +
                              std::to_string(back.lives)};
-        list_target(back.entry);
+        after(options.list_delay,
+              [this, entry = back.entry] { list_target(entry); });
     });
 }
 
--- a/tests/dispatch_world.hpp
+++ b/tests/dispatch_world.hpp
@@ -59,6 +59,8 @@
     millis downtime{3000};
     /** It comes back under its id; otherwise under a new one. */
     bool keeps_id = false;
+    /** From its return until the list shows it again. */
+    millis list_delay{0};
 };
 
 /** Outcome of a set of jobs. */
--- a/tests/late_start_test.cpp
+++ b/tests/late_start_test.cpp
@@ -30,6 +30,35 @@
     return spec;
 }
 
+/**
+ * Targets get starts that arrive late, crash for 5 s, and come back under their
+ * ids.
+ * @param list_delay From their return until the list shows them.
+ */
+void play_crashes_with_late_starts(std::uint32_t seed, millis arrives_after,
+                                   millis list_delay) {
+    const auto cell = make_cell(seed);
+    cell->at(millis(6000), [&] {
+        cell->delay_starts(1, arrives_after);
+        cell->submit("direct", "a", job_of(3));
+    });
+    cell->at(millis(6200), [&] {
+        cell->delay_starts(0);
+        EXPECT_EQ(cell->starts(), 3);
+        const auto& targets = cell->owner_under_test().targets().all();
+        for (int i = 0; i < TARGETS; ++i)
+            if (!targets.at(simulated_cell::target_name(i)).runs.empty())
+                cell->crash_target(i, {.downtime = millis(5000),
+                                       .keeps_id = true,
+                                       .list_delay = list_delay});
+    });
+    cell->run_until(millis(60'000));
+    EXPECT_EQ(cell->starts_in_reached_process(), 0);
+    EXPECT_EQ(cell->overlapping_runs(), 0);
+    EXPECT_EQ(cell->starts_after_success(), 0);
+    EXPECT_EQ(cell->queue_result("direct").ended, 1);
+}
+
 } // namespace
 
 // The tokens of a later owner are higher, whatever the number of tokens that an
@@ -55,28 +84,20 @@
         for (const int arrives_after : {9000, 11'900}) {
             SCOPED_TRACE(::testing::Message()
                          << "seed " << seed << " after " << arrives_after);
-            const auto cell = make_cell(seed);
-            job_id job;
-            cell->at(millis(6000), [&] {
-                cell->delay_starts(1, millis(arrives_after));
-                job = cell->submit("direct", "a", job_of(3));
-            });
-            cell->at(millis(6200), [&] {
-                cell->delay_starts(0);
-                EXPECT_EQ(cell->starts(), 3);
-                for (int i = 0; i < TARGETS; ++i)
-                    if (cell->owner_under_test()
-                            .targets()
-                            .all()
-                            .at(simulated_cell::target_name(i))
-                            .runs.size() > 0)
-                        cell->crash_target(
-                            i, {.downtime = millis(5000), .keeps_id = true});
-            });
-            cell->run_until(millis(60'000));
-            EXPECT_EQ(cell->starts_in_reached_process(), 0);
-            EXPECT_EQ(cell->overlapping_runs(), 0);
-            EXPECT_EQ(cell->starts_after_success(), 0);
-            EXPECT_EQ(cell->queue_result("direct").ended, 1);
+            play_crashes_with_late_starts(seed, millis(arrives_after),
+                                          millis(0));
+        }
+}
+
+// The same with a list that shows the new processes only after the starts have
+// arrived, over 2 s after the processes began. Guards against reaching such a
+// process no sooner than the list does.
+TEST(late_start, process_is_reached_while_the_list_lacks_it) {
+    for (std::uint32_t seed = 1; seed <= 20; ++seed)
+        for (const int arrives_after : {7500, 9000, 11'900}) {
+            SCOPED_TRACE(::testing::Message()
+                         << "seed " << seed << " after " << arrives_after);
+            play_crashes_with_late_starts(seed, millis(arrives_after),
+                                          millis(9000));
         }
 }
