Owner: count the runs of ended jobs that an earlier owner left

An organisation ran 16 cores where its limit is 8: a target was out of reach, a job there was cancelled, and the owner's host was stopped. The record of an ended job had no tasks, so nothing told the new owner of the runs until their target answered.

The record of an ended job now keeps the runs that may still exist, by target; the next owner counts them against limits and stops them until they are shown to have ended. So it does with two other kinds of runs for which no task waits: a later run of a task that an earlier run completed, and a run that a target lists but no record names.

take_over moves to a file of its own.

--- a/src/dispatch/job_table.cpp
+++ b/src/dispatch/job_table.cpp
@@ -77,6 +77,27 @@
     return out;
 }
 
+std::vector<leftover_run> runs_without_waiting_task(const job_entry& job) {
+    std::vector<leftover_run> out = job.leftover_runs;
+    if (!job.ended())
+        return out;
+    for (const auto& [number, repeat] : job.repeats)
+        for (size_t s = 0; s < repeat.steps.size(); ++s) {
+            const std::vector<task_entry>& tasks = repeat.steps[s].tasks;
+            for (size_t i = 0; i < tasks.size(); ++i) {
+                if (tasks[i].phase != task_phase::placed)
+                    continue;
+                const step_ref step{job.record.id, number,
+                                    static_cast<std::int32_t>(s)};
+                out.push_back({.task = {step, static_cast<std::int32_t>(i)},
+                               .run = tasks[i].run,
+                               .target = tasks[i].target,
+                               .incarnation = tasks[i].incarnation});
+            }
+        }
+    return out;
+}
+
 bool job_table::accept(job_record record) {
     const auto [found, added] = jobs_.try_emplace(record.id);
     if (!added)
@@ -159,6 +180,30 @@
     mark_changed(id.step.job);
 }
 
+void job_table::add_leftover_run(const leftover_run& run) {
+    job_entry* job = find(run.task.step.job);
+    if (job == nullptr ||
+        std::find(job->leftover_runs.begin(), job->leftover_runs.end(), run) !=
+            job->leftover_runs.end())
+        return;
+    job->leftover_runs.push_back(run);
+    mark_changed(run.task.step.job);
+}
+
+void job_table::remove_leftover_run(const task_id& task, std::int32_t run,
+                                    const target_id& target) {
+    job_entry* job = find(task.step.job);
+    if (job == nullptr)
+        return;
+    const auto removed =
+        std::erase_if(job->leftover_runs, [&](const leftover_run& other) {
+            return other.task == task && other.run == run &&
+                   other.target == target;
+        });
+    if (removed > 0)
+        mark_changed(task.step.job);
+}
+
 void job_table::record_run_time(const task_id& id, millis run_time) {
     if (step_entry* step = find(id.step))
         step->longest_run_time = std::max(step->longest_run_time, run_time);
--- a/src/dispatch/job_table.hpp
+++ b/src/dispatch/job_table.hpp
@@ -78,6 +78,16 @@
     std::int32_t steps_done = 0;
 };
 
+/** A run that may still exist although no task waits for its end. */
+struct leftover_run {
+    task_id task;
+    std::int32_t run = 0;
+    target_id target;
+    std::int64_t incarnation = 0; ///< Of that target.
+
+    bool operator==(const leftover_run&) const = default;
+};
+
 /** A job and its progress. */
 struct job_entry {
     job_record record;
@@ -88,6 +98,10 @@
     std::int64_t ended_ms = 0; ///< Unix time; 0: not ended.
     millis critical_path{0};   ///< Length by the estimates.
     bool over_rate = false; ///< Its organisation exceeded its submission rate.
+    /** Without those of its tasks, which an ended job still has. */
+    std::vector<leftover_run> leftover_runs;
+    /** The store refused the record of the ended job with these runs. */
+    bool leftover_runs_unstorable = false;
 
     [[nodiscard]] bool ended() const {
         return state == job_state::completed || state == job_state::failed ||
@@ -95,6 +109,12 @@
     }
 };
 
+/**
+ * Runs of a job that a later owner has to count although no task waits for
+ * their ends. If the job has ended, those of its tasks are among them.
+ */
+std::vector<leftover_run> runs_without_waiting_task(const job_entry& job);
+
 /** Length of the critical path through the steps of a job, by the estimates. */
 millis critical_path_length(const job_spec& spec);
 
@@ -151,6 +171,16 @@
      */
     void requeue(const task_id& task);
 
+    /**
+     * Keeps a run on record that may still exist although no task waits for its
+     * end. Has no effect if the job is unknown.
+     */
+    void add_leftover_run(const leftover_run& run);
+
+    /** A run kept on record does not exist any more. */
+    void remove_leftover_run(const task_id& task, std::int32_t run,
+                             const target_id& target);
+
     /** Records the duration of a successful run. */
     void record_run_time(const task_id& task, millis run_time);
 
--- a/src/dispatch/owner_base.cpp
+++ b/src/dispatch/owner_base.cpp
@@ -198,59 +198,6 @@
     return {.id = target.entry.id, .address = target.entry.address};
 }
 
-void owner::take_over(const owner_clock& clock) {
-    inherited_leases_end_ = all_earlier_leases_end(clock);
-    for (const job_id& id : live_jobs_) {
-        job_entry& job = *jobs_.find(id);
-        for (auto& [repeat_number, repeat] : job.repeats)
-            for (size_t s = 0; s < repeat.steps.size(); ++s)
-                for (size_t i = 0; i < repeat.steps[s].tasks.size(); ++i) {
-                    task_entry& task = repeat.steps[s].tasks[i];
-                    if (task.phase != task_phase::placed)
-                        continue;
-                    const step_spec& spec = job.record.spec.steps[s];
-                    target_state* target = targets_.find(task.target);
-                    if (target == nullptr) {
-                        target = &targets_.add_or_update(
-                            {.id = task.target,
-                             .incarnation = task.incarnation});
-                        target->listed = false;
-                        raise_fencing_token(*target);
-                    }
-                    if (task.incarnation > target->incarnation)
-                        replace_process(*target, task.incarnation, clock);
-                    // The earlier owner may not have known of the restart: its
-                    // orders gave the new process leases by the old clock.
-                    if (task.incarnation != target->incarnation)
-                        target->all_leases_end =
-                            std::max(target->all_leases_end,
-                                     latest_lease_end(clock.now) +
-                                         settings_.max_unconfirmed);
-                    suspects_.run_inherited(
-                        *target,
-                        {{id, repeat_number, static_cast<std::int32_t>(s)},
-                         static_cast<std::int32_t>(i)},
-                        task.incarnation);
-                    targets_.add_run(
-                        *target,
-                        {{id, repeat_number, static_cast<std::int32_t>(s)},
-                         static_cast<std::int32_t>(i)},
-                        {.run = task.run,
-                         .phase = run_phase::inherited,
-                         .incarnation = task.incarnation,
-                         .demand = spec.demand,
-                         .best_effort = spec.best_effort,
-                         .long_lived = spec.long_lived,
-                         .organisation = job.record.organisation,
-                         .phase_since = clock.now,
-                         .tail_latency_target = spec.tail_latency_target,
-                         .speed_confirmed = false});
-                }
-    }
-    apply_handover();
-    schedule_due_ = true;
-}
-
 void owner::start_due_repeats(const owner_clock& clock) {
     for (const job_id& id : repeating_jobs_) {
         job_entry& job = *jobs_.find(id);
--- a/src/dispatch/owner_base.hpp
+++ b/src/dispatch/owner_base.hpp
@@ -225,6 +225,10 @@
     void confirm_job_ends(const owner_clock& clock);
     [[nodiscard]] bool consume_rate_credit(const job_record& record);
 
+    // owner_refused.cpp
+    /** The store refused the record of an ended job with its runs. */
+    void store_end_without_runs(const job_id& id);
+
     // owner_attempts.cpp
     /** Nothing while the configuration does not name the job's queue. */
     [[nodiscard]] std::optional<int> max_attempts(const job_entry& job) const;
@@ -342,6 +346,17 @@
     void throttle_best_effort(target_state& target);
     void send_speed(target_state& target, const task_id& task, run_entry& run);
 
+    // owner_takeover.cpp
+    /** Counts the recorded runs of a job's tasks. */
+    void inherit_task_runs(const job_entry& job, const owner_clock& clock);
+    /** Counts and stops the recorded runs for which no task waits. */
+    void inherit_leftover_runs(const job_entry& job, const owner_clock& clock);
+    /** Returns the target of a recorded run; adds it if it is not listed. */
+    target_state& inherit_target(const leftover_run& run,
+                                 const owner_clock& clock);
+    run_entry& inherit_run(target_state& target, const leftover_run& run,
+                           const owner_clock& clock);
+
     // owner_handover.cpp
     /** When the leases of a target that earlier owners granted have ended. */
     [[nodiscard]] mono_time
@@ -363,6 +378,9 @@
     void send_stops(const owner_clock& clock);
     void stop_job(const job_entry& job, const owner_clock& clock);
     void stop_gang(const step_ref& step, const owner_clock& clock);
+    /** Forgets a run that has ended. */
+    void remove_run(target_state& target, const task_id& task);
+    /** The same; its task is placed again if it waits for this run. */
     void release_run(target_state& target, const task_id& task);
     void apply_run_end(target_state& target, const run_entry& run,
                        const listed_end& end, const owner_clock& clock);
--- a/src/dispatch/owner_poll.cpp
+++ b/src/dispatch/owner_poll.cpp
@@ -183,7 +183,7 @@
         found != target.runs.end() && found->second.run == end.run;
     const run_entry run = known ? found->second : run_entry{.run = end.run};
     if (known)
-        targets_.remove_run(target, end.task);
+        remove_run(target, end.task);
     apply_run_end(target, run, end, clock);
     // Where an earlier run took the place of the latest one, the start of that
     // one may still arrive.
@@ -335,6 +335,11 @@
              job != nullptr ? job->record.organisation : organisation_id{},
          .phase_since = clock.now});
     runs_to_stop_.emplace(target.entry.id, listed.task);
+    if (spec != nullptr)
+        jobs_.add_leftover_run({.task = listed.task,
+                                .run = listed.run,
+                                .target = target.entry.id,
+                                .incarnation = target.incarnation});
 }
 
 } // namespace rattan::dispatch
--- a/src/dispatch/owner_stop.cpp
+++ b/src/dispatch/owner_stop.cpp
@@ -106,12 +106,17 @@
     }
 }
 
+void owner::remove_run(target_state& target, const task_id& task) {
+    jobs_.remove_leftover_run(task, target.runs.at(task).run, target.entry.id);
+    targets_.remove_run(target, task);
+}
+
 void owner::release_run(target_state& target, const task_id& task) {
     const auto found = target.runs.find(task);
     if (found == target.runs.end())
         return;
     const std::int32_t run = found->second.run;
-    targets_.remove_run(target, task);
+    remove_run(target, task);
     const task_entry* entry = jobs_.find(task);
     if (entry != nullptr && entry->phase == task_phase::placed &&
         entry->run >= run && entry->target == target.entry.id)
@@ -140,8 +145,15 @@
         }
         if (!current && task->phase == task_phase::placed)
             if (target_state* other = targets_.find(task->target);
-                other != nullptr && other->runs.contains(end.task))
+                other != nullptr && other->runs.contains(end.task)) {
+                const leftover_run later{.task = end.task,
+                                         .run = task->run,
+                                         .target = task->target,
+                                         .incarnation = task->incarnation};
                 stop_run(*other, end.task, clock);
+                if (other->runs.contains(end.task))
+                    jobs_.add_leftover_run(later);
+            }
         if (run.started != mono_time{})
             jobs_.record_run_time(end.task, clock.now - run.started);
         jobs_.complete(end.task, clock.wall_ms, clock.now);
--- a/src/dispatch/record_codec.cpp
+++ b/src/dispatch/record_codec.cpp
@@ -6,6 +6,8 @@
 #include "rattan/json_func.hpp"
 
 #include <limits>
+#include <map>
+#include <utility>
 
 namespace rattan::dispatch {
 
@@ -216,6 +218,49 @@
     }
 }
 
+/** Position of the leftover runs; progress without any ends here. */
+constexpr std::size_t LEFTOVERS_FIELD = 6;
+
+/** Encodes rows of runs, grouped by target and its incarnation. */
+json encode_leftovers(const std::vector<leftover_run>& runs) {
+    std::map<std::pair<target_id, std::int64_t>, json> by_process;
+    for (const leftover_run& run : runs) {
+        json& rows =
+            by_process.try_emplace({run.target, run.incarnation}, json::array())
+                .first->second;
+        rows.push_back(json::array({run.task.step.repeat, run.task.step.step,
+                                    run.task.index, run.run}));
+    }
+    json out = json::array();
+    for (auto& [process, rows] : by_process)
+        out.push_back(
+            json::array({process.first, process.second, std::move(rows)}));
+    return out;
+}
+
+void decode_leftovers(const json& in, job_entry& job) {
+    const std::vector<step_spec>& steps = job.record.spec.steps;
+    std::int64_t count = 0;
+    for (const json& process : in)
+        for (const json& row : process.at(2)) {
+            if (++count > MAX_RESTORED_TASKS)
+                throw decode_error("more than " +
+                                   std::to_string(MAX_RESTORED_TASKS) +
+                                   " leftover runs");
+            const std::int32_t step = small_integer_at(
+                row, 1, static_cast<std::int64_t>(steps.size()) - 1);
+            const std::int32_t index = small_integer_at(
+                row, 2, steps[static_cast<size_t>(step)].count - 1);
+            const step_ref ref{job.record.id,
+                               small_integer_at(row, 0, MAX_REPEATS), step};
+            job.leftover_runs.push_back(
+                {.task = {ref, index},
+                 .run = small_integer_at(row, 3, MAX_RUN),
+                 .target = process.at(0).get<target_id>(),
+                 .incarnation = integer_at(process, 1, MAX_INTEGER)});
+        }
+}
+
 } // namespace
 
 std::string encode_job(const job_record& record) {
@@ -267,10 +312,13 @@
                 steps.push_back(encode_tasks(step));
             repeats.push_back(json::array({number, std::move(steps)}));
         }
-    return json::array({static_cast<int>(job.state), job.ended_ms,
-                        job.repeats_done, job.next_repeat, std::move(repeats),
-                        job.record.organisation})
-        .dump(-1, ' ', false, json::error_handler_t::replace);
+    json out = json::array({static_cast<int>(job.state), job.ended_ms,
+                            job.repeats_done, job.next_repeat,
+                            std::move(repeats), job.record.organisation});
+    const std::vector<leftover_run> leftovers = runs_without_waiting_task(job);
+    if (!leftovers.empty() && !job.leftover_runs_unstorable)
+        out.push_back(encode_leftovers(leftovers));
+    return out.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 job_state decode_progress_state(const std::string& text) {
@@ -301,6 +349,8 @@
         job.repeats_done = small_integer_at(in, 2, MAX_REPEATS);
         job.next_repeat = small_integer_at(in, 3, MAX_REPEATS);
         decode_repeats(in.at(4), job);
+        if (in.size() > LEFTOVERS_FIELD)
+            decode_leftovers(in.at(LEFTOVERS_FIELD), job);
         return 0;
     });
 }
--- a/tests/dispatch_world.cpp
+++ b/tests/dispatch_world.cpp
@@ -1,6 +1,7 @@
 #include "dispatch_world.hpp"
 
 #include "dispatch/record_codec.hpp"
+#include "dispatch/route_func.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -130,8 +131,10 @@
     owner_->set_config(config_);
 }
 
-void simulated_cell::add_organisation(const std::string& name, double weight) {
-    config_.organisations.push_back({.name = {name}, .weight = weight});
+void simulated_cell::add_organisation(const std::string& name, double weight,
+                                      const resources& limit) {
+    config_.organisations.push_back(
+        {.name = {name}, .weight = weight, .limit = limit});
     owner_->set_config(config_);
 }
 
@@ -309,6 +312,7 @@
             spec.long_lived ? std::numeric_limits<std::int64_t>::max()
                             : now_ + takes.count(),
             spec.demand};
+        check_limit(order.task.step.job);
         answer.done = true;
         ++starts_by_task_[order.task];
         if (const auto deadly = deadly_tasks_.find(order.task);
@@ -341,6 +345,20 @@
     });
 }
 
+void simulated_cell::check_limit(const job_id& job) {
+    const organisation_id& name = accepted_.at(job).organisation;
+    const organisation_config* organisation = find_organisation(config_, name);
+    if (organisation == nullptr || organisation->limit.milli_cores <= 0)
+        return;
+    std::int64_t milli_cores = 0;
+    for (const fake_target& target : targets_)
+        for (const auto& [task, run] : target.runs)
+            if (accepted_.at(task.step.job).organisation == name)
+                milli_cores += run.demand.milli_cores;
+    if (milli_cores > organisation->limit.milli_cores)
+        ++starts_over_limit_;
+}
+
 void simulated_cell::end_run(fake_target& target, task_id task, run_end how) {
     const std::int32_t run = target.runs.at(task).run;
     target.runs.erase(task);
--- a/tests/dispatch_world.hpp
+++ b/tests/dispatch_world.hpp
@@ -85,7 +85,9 @@
     [[nodiscard]] owner_clock clock() const;
 
     void add_queue(const request_kind& kind);
-    void add_organisation(const std::string& name, double weight);
+    /** @param limit Upper limit of what runs; 0: none. */
+    void add_organisation(const std::string& name, double weight,
+                          const resources& limit = {});
     /**
      * Submits random jobs for one organisation from `from` to `to`.
      * @param rate_factor Factor applied to the submission rate.
@@ -181,6 +183,8 @@
     [[nodiscard]] int overcommitted_starts() const {
         return overcommitted_starts_;
     }
+    /** Starts that brought the runs of an organisation above its limit. */
+    [[nodiscard]] int starts_over_limit() const { return starts_over_limit_; }
     /** Starts of tasks of which a successful end was acknowledged. */
     [[nodiscard]] int starts_after_success() const {
         return starts_after_success_;
@@ -348,6 +352,8 @@
     /** Ends the process of a target. */
     void reset(fake_target& target);
     void expire_leases(fake_target& target);
+    /** Counts starts above the limit of the organisation of a job. */
+    void check_limit(const job_id& job);
     void extend_lease(fake_target& target, std::int64_t lease_end_ms) const;
     /** The owner will not hear of these ends again. */
     void acknowledge_ends(fake_target& target, std::int64_t last_seen);
@@ -410,6 +416,7 @@
     int overlapping_runs_ = 0;
     int overlapping_held_runs_ = 0;
     int overcommitted_starts_ = 0;
+    int starts_over_limit_ = 0;
     int starts_after_success_ = 0;
     int starts_after_held_success_ = 0;
     /** Time of the last start of each task. */
--- a/tests/owner_order_test.cpp
+++ b/tests/owner_order_test.cpp
@@ -1,5 +1,6 @@
 /** @file Orders of an owner to one target, event by event. */
 #include "dispatch/owner_base.hpp"
+#include "dispatch/record_codec.hpp"
 
 #include <gtest/gtest.h>
 
@@ -369,3 +370,36 @@
     tick_for(millis(0));
     EXPECT_EQ(output.starts.size(), 2U);
 }
+
+// A target lists a run that no record names, as after a late start. Guards
+// against a later owner that learns of it only from the target, which may not
+// answer any more, and starts the task beside it.
+TEST_F(owner_order, run_that_no_record_names_is_recorded_until_it_ends) {
+    const auto recorded_runs = [this] {
+        job_record record{.id = {"first"}, .queue = {"q"}};
+        record.spec.steps = {{.count = 1}};
+        job_entry job{.record = std::move(record)};
+        for (const store_record& stored : output.stored)
+            if (stored.key == progress_key({"first"}))
+                apply_progress(job, stored.value);
+        return job.leftover_runs;
+    };
+    under_test.set_evacuated({{"dc1"}}); // Nothing is placed.
+    accept("first", {.estimate = millis(1000)});
+    const task_id task{{{"first"}, 0, 0}, 0};
+    answer_poll({{.task = task, .run = 5}});
+    const auto runs = recorded_runs();
+    ASSERT_EQ(runs.size(), 1U);
+    EXPECT_EQ(runs[0], (leftover_run{.task = task,
+                                     .run = 5,
+                                     .target = TARGET,
+                                     .incarnation = INCARNATION}));
+    ASSERT_EQ(output.stops.size(), 1U);
+    under_test.stop_answered(
+        TARGET, task, 5,
+        {.answered = true, .sent = true, .done = true, .clock_ms = now_ms},
+        clock());
+    tick();
+    answer_poll({});
+    EXPECT_TRUE(recorded_runs().empty());
+}
