Advice: drop the tickets of a target whose entry was removed

Starts in the next process carried the old ticket and were refused, and the task had to wait for a new one.

--- a/src/dispatch/owner_base.cpp
+++ b/src/dispatch/owner_base.cpp
@@ -93,8 +93,11 @@
                     !entry.capacity.fits_in(known->entry.capacity)))
         schedule_due_ = true;
     target_state& target = targets_.add_or_update(entry);
-    if (is_new)
+    if (is_new) {
         raise_fencing_token(target);
+        // Tickets may be those of a process whose entry was removed.
+        advice_.drop_tickets(entry.id);
+    }
     if (entry.incarnation > target.incarnation)
         replace_process(target, entry.incarnation, clock);
     // The read may lag, or the process may have started after its host's clock
--- a/tests/restart_review_test.cpp
+++ b/tests/restart_review_test.cpp
@@ -334,6 +334,20 @@
     EXPECT_EQ(cell.queue_result("batch").ended, 1);
 }
 
+// The entry of a crashed target is removed, and the next process comes back
+// under the same id. Guards against starts with tickets of the process before.
+TEST(restart_review, tickets_of_a_removed_target_are_dropped) {
+    simulated_cell cell = make_cell({.targets = 2}, millis(60'000));
+    cell.at(millis(6000),
+            [&cell] { cell.submit("batch", "a", wide_job(40, 2000)); });
+    cell.at(millis(6500), [&cell] {
+        cell.crash_target(1, {.downtime = millis(8000), .keeps_id = true});
+    });
+    cell.run_until(millis(120'000));
+    EXPECT_EQ(cell.starts_with_old_ticket(), 0);
+    EXPECT_EQ(cell.queue_result("batch").ended, 1);
+}
+
 // A poll that acknowledges an end has no answer. Guards against leaving the end
 // unacknowledged until the next idle poll.
 TEST(restart_review, ends_are_acknowledged_soon_after_a_poll_without_answer) {
