Owner: raise the fencing token also when a start finds no process

owner_order.start_that_is_not_sent_makes_earlier_polls_void failed before (the same token in the next poll). The linter's finding of a repeated branch in the choice of the next poll goes as well; the order of polls is the same.

--- a/src/dispatch/owner_poll.cpp
+++ b/src/dispatch/owner_poll.cpp
@@ -166,9 +166,8 @@
     assess_speed(target, clock);
     if (target.last_applied_end > target.last_stored_end)
         target.next_poll = clock.now + LEASE_RENEWAL_PERIOD;
-    else if (!answer.ended.empty())
-        target.next_poll = clock.now;
-    else if (target.runs.empty() && !target.start_may_arrive(clock.now))
+    else if (answer.ended.empty() && target.runs.empty() &&
+             !target.start_may_arrive(clock.now))
         target.next_poll = clock.now + IDLE_POLL_PERIOD;
     else
         target.next_poll = clock.now;
--- a/src/dispatch/owner_start.cpp
+++ b/src/dispatch/owner_start.cpp
@@ -128,6 +128,7 @@
         stop_gang(task.step, clock);
     if (!answer.sent || answer.refusal == order_refusal::other) {
         target->responsive = false;
+        raise_fencing_token(*target);
         target->next_poll = clock.now;
     }
 }
--- a/tests/owner_order_test.cpp
+++ b/tests/owner_order_test.cpp
@@ -199,6 +199,24 @@
     EXPECT_TRUE(under_test.superseded());
 }
 
+// A start finds no process at the address of its target, while a poll that
+// acknowledges ends may be on its way. Guards against a next process that obeys
+// the late poll and forgets ends which nobody has read.
+TEST_F(owner_order, start_that_is_not_sent_makes_earlier_polls_void) {
+    accept("first", {.estimate = millis(1000)});
+    ASSERT_EQ(output.starts.size(), 1U);
+    const start_order start = output.starts[0];
+    under_test.start_answered(TARGET, start.task, start.run, {}, clock());
+    under_test.poll_answered(
+        TARGET, {.order = {.sent = true, .fencing_token = start.fencing_token}},
+        clock().now, clock());
+    const std::size_t polls = output.polls.size();
+    for (int i = 0; i < 20 && output.polls.size() == polls; ++i)
+        tick();
+    ASSERT_GT(output.polls.size(), polls);
+    EXPECT_GT(output.polls.back().fencing_token, start.fencing_token);
+}
+
 TEST_F(owner_order, malformed_entry_of_a_target_stops_new_work_only) {
     accept("first", {.estimate = millis(1000)});
     ASSERT_EQ(output.starts.size(), 1U);
