Owner: record no leftover run that a later owner could not read

A run with an odd number, which a target may list for a known task, went into the record of its job, and the next owner could not read the record: the job would have been lost to it.

Runs of tasks that the job doesn't have and numbers beyond those that owners give out are not recorded; they are stopped as before. The limits of stored numbers move to job_table.hpp. owner_order.listed_run_with_odd_numbers_is_not_recorded failed before (unreadable progress).

--- a/src/dispatch/job_table.cpp
+++ b/src/dispatch/job_table.cpp
@@ -182,9 +182,13 @@
 
 void job_table::add_leftover_run(const leftover_run& run) {
     job_entry* job = find(run.task.step.job);
-    if (job == nullptr ||
-        std::find(job->leftover_runs.begin(), job->leftover_runs.end(), run) !=
-            job->leftover_runs.end())
+    const step_spec* step = spec(run.task.step);
+    if (step == nullptr || run.task.index < 0 ||
+        run.task.index >= step->count || run.task.step.repeat < 0 ||
+        run.task.step.repeat > MAX_REPEATS || run.run > MAX_RUN_NUMBER)
+        return;
+    if (std::find(job->leftover_runs.begin(), job->leftover_runs.end(), run) !=
+        job->leftover_runs.end())
         return;
     job->leftover_runs.push_back(run);
     mark_changed(run.task.step.job);
--- a/src/dispatch/job_table.hpp
+++ b/src/dispatch/job_table.hpp
@@ -13,6 +13,11 @@
 
 namespace rattan::dispatch {
 
+/** Highest number of a repeat that stored progress may name. */
+constexpr std::int32_t MAX_REPEATS = 1 << 20;
+/** The same for a run; the next one has to fit into 32 bits as well. */
+constexpr std::int32_t MAX_RUN_NUMBER = 1 << 30;
+
 /** Progress of a task. */
 enum class task_phase : std::uint8_t {
     waiting, ///< No run of the task can exist.
@@ -173,7 +178,7 @@
 
     /**
      * Keeps a run on record that may still exist although no task waits for its
-     * end. Has no effect if the job is unknown.
+     * end. Has no effect if the job is unknown or has no such task.
      */
     void add_leftover_run(const leftover_run& run);
 
--- a/src/dispatch/owner_poll.cpp
+++ b/src/dispatch/owner_poll.cpp
@@ -334,11 +334,10 @@
              job != nullptr ? job->record.organisation : organisation_id{},
          .phase_since = clock.now});
     runs_to_stop_.emplace(target.entry.id, listed.task);
-    if (spec != nullptr)
-        jobs_.add_leftover_run({.task = listed.task,
-                                .run = listed.run,
-                                .target = target.entry.id,
-                                .incarnation = target.incarnation});
+    jobs_.add_leftover_run({.task = listed.task,
+                            .run = listed.run,
+                            .target = target.entry.id,
+                            .incarnation = target.incarnation});
 }
 
 } // namespace rattan::dispatch
--- a/src/dispatch/record_codec.cpp
+++ b/src/dispatch/record_codec.cpp
@@ -22,9 +22,7 @@
 constexpr millis RUNS_GONE_AFTER{30'000};
 
 constexpr std::int64_t MAX_INTEGER = std::int64_t{1} << 50U;
-constexpr std::int64_t MAX_REPEATS = 1 << 20;
-/** The next number of a run has to fit into 32 bits as well. */
-constexpr std::int64_t MAX_RUN = 1 << 30;
+constexpr std::int64_t MAX_COUNT = 1 << 30; ///< Of tasks or runs.
 constexpr size_t MAX_JOB_ID_BYTES = 128;
 /** Tasks of all repeats in progress; bounds the memory that a record takes. */
 constexpr std::int64_t MAX_RESTORED_TASKS = 100'000;
@@ -111,10 +109,10 @@
             .best_effort = row.at(11).get<bool>(),
             .required_label = row.at(12).get<std::string>(),
             .preferred_rack = row.at(13).get<std::string>(),
-            .max_tasks_per_target = small_integer_at(row, 14, MAX_RUN),
+            .max_tasks_per_target = small_integer_at(row, 14, MAX_COUNT),
             .image = row.at(15).get<std::string>(),
             .tail_latency_target = millis(integer_at(row, 16, MAX_INTEGER)),
-            .max_unavailable = small_integer_at(row, 17, MAX_RUN)};
+            .max_unavailable = small_integer_at(row, 17, MAX_COUNT)};
 }
 
 /** Position of the crashes in a task's row; rows without crashes end here. */
@@ -164,18 +162,18 @@
 }
 
 void decode_tasks(const json& in, step_entry& step) {
-    step.failed_runs = small_integer_at(in, 0, MAX_RUN);
-    step.last_failed_run = small_integer_at(in, 1, MAX_RUN);
+    step.failed_runs = small_integer_at(in, 0, MAX_COUNT);
+    step.last_failed_run = small_integer_at(in, 1, MAX_RUN_NUMBER);
     for (const json& row : in.at(2)) {
         task_entry& task =
-            step.tasks.at(static_cast<size_t>(integer_at(row, 0, MAX_RUN)));
+            step.tasks.at(static_cast<size_t>(integer_at(row, 0, MAX_COUNT)));
         if (task.run > 0 || task.phase != task_phase::waiting)
             throw decode_error("task " + excerpt(row.at(0)) +
                                " is listed twice");
         task.phase = static_cast<task_phase>(
             integer_at(row, 1, static_cast<std::int64_t>(task_phase::done)));
-        task.run = small_integer_at(row, 2, MAX_RUN);
-        task.failed = decode_numbers(row.at(3), MAX_RUN);
+        task.run = small_integer_at(row, 2, MAX_RUN_NUMBER);
+        task.failed = decode_numbers(row.at(3), MAX_RUN_NUMBER);
         task.checkpoint = row.at(4).get<std::string>();
         task.target = row.at(5).get<target_id>();
         task.incarnation = integer_at(row, 6, MAX_INTEGER);
@@ -255,7 +253,7 @@
                                small_integer_at(row, 0, MAX_REPEATS), step};
             job.leftover_runs.push_back(
                 {.task = {ref, index},
-                 .run = small_integer_at(row, 3, MAX_RUN),
+                 .run = small_integer_at(row, 3, MAX_RUN_NUMBER),
                  .target = process.at(0).get<target_id>(),
                  .incarnation = integer_at(process, 1, MAX_INTEGER)});
         }
--- a/tests/owner_order_test.cpp
+++ b/tests/owner_order_test.cpp
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include <limits>
+
 using namespace rattan;
 using namespace rattan::dispatch;
 
@@ -421,3 +423,22 @@
     answer_poll({});
     EXPECT_TRUE(recorded_runs().empty());
 }
+
+// A target lists runs with numbers that no owner gives out. Guards against a
+// record of the job that no later owner can read.
+TEST_F(owner_order, listed_run_with_odd_numbers_is_not_recorded) {
+    constexpr std::int32_t MAX_INT = std::numeric_limits<std::int32_t>::max();
+    under_test.set_evacuated({{"dc1"}});
+    accept("first", {.estimate = millis(1000)});
+    answer_poll({{.task = {{{"first"}, 0, 0}, 0}, .run = MAX_INT},
+                 {.task = {{{"first"}, 0, 0}, 1}, .run = 1},
+                 {.task = {{{"first"}, MAX_INT, 0}, 0}, .run = 1}});
+    EXPECT_EQ(output.stops.size(), 3U);
+    job_record record{.id = {"first"}, .queue = {"q"}};
+    record.spec.steps = {{.count = 1}};
+    job_entry job{.record = std::move(record)};
+    for (const store_record& stored : output.stored)
+        if (stored.key == progress_key({"first"}))
+            apply_progress(job, stored.value);
+    EXPECT_TRUE(job.leftover_runs.empty());
+}
