Jobs: a failure with an odd run number leaves the progress readable

Such a failure counts for nothing. job_table.failure_with_an_odd_number_leaves_the_progress_readable failed before (unreadable progress).

--- a/src/dispatch/job_table.cpp
+++ b/src/dispatch/job_table.cpp
@@ -255,7 +255,8 @@
                      std::optional<int> max_attempts, std::int64_t wall_ms) {
     job_entry* job = find(id.step.job);
     task_entry* task = find(id);
-    if (task == nullptr || task->phase == task_phase::done)
+    if (task == nullptr || task->phase == task_phase::done ||
+        run > MAX_RUN_NUMBER)
         return false;
     begin(id.step.job);
     const step_spec& definition = *spec(id.step);
--- a/src/dispatch/job_table.hpp
+++ b/src/dispatch/job_table.hpp
@@ -197,7 +197,7 @@
 
     /**
      * Records a failed run. A run counts only once, since targets report an end
-     * again to a new owner.
+     * again to a new owner. One beyond `MAX_RUN_NUMBER` is not of this job.
      * @param max_attempts Number of failed runs after which the job fails;
      * nothing: not known yet, the run is only counted.
      * @return True if the job has failed because of this run.
--- a/tests/job_table_test.cpp
+++ b/tests/job_table_test.cpp
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include <limits>
+
 using namespace rattan;
 using namespace rattan::dispatch;
 
@@ -71,6 +73,17 @@
     EXPECT_EQ(next.find(job_id{"job"})->state, job_state::failed);
 }
 
+// A target reports that a run failed whose number no owner gives out. Guards
+// against progress that no later owner can read.
+TEST(job_table, failure_with_an_odd_number_leaves_the_progress_readable) {
+    job_table table = make_table({{.count = 1}});
+    table.place(task(0, 0), 1, TARGET);
+    EXPECT_FALSE(table.fail(task(0, 0),
+                            std::numeric_limits<std::int32_t>::max(), 3, WALL));
+    job_table next = reload(table);
+    EXPECT_EQ(next.find(task(0, 0))->phase, task_phase::placed);
+}
+
 TEST(job_table, an_old_failure_leaves_a_newer_run_alone) {
     job_table table = make_table({{.count = 1}});
     table.place(task(0, 0), 1, TARGET);
