Jobs: name a run on record for what it is

A run of a waiting task was passed on as a leftover run during a takeover, which made two meanings of one name.

--- a/src/dispatch/job_table.cpp
+++ b/src/dispatch/job_table.cpp
@@ -77,8 +77,8 @@
     return out;
 }
 
-std::vector<leftover_run> runs_without_waiting_task(const job_entry& job) {
-    std::vector<leftover_run> out = job.leftover_runs;
+std::vector<recorded_run> unawaited_runs(const job_entry& job) {
+    std::vector<recorded_run> out = job.leftover_runs;
     if (!job.ended())
         return out;
     for (const auto& [number, repeat] : job.repeats)
@@ -180,7 +180,7 @@
     mark_changed(id.step.job);
 }
 
-void job_table::add_leftover_run(const leftover_run& run) {
+void job_table::add_leftover_run(const recorded_run& run) {
     job_entry* job = find(run.task.step.job);
     const step_spec* step = spec(run.task.step);
     if (step == nullptr || run.task.index < 0 ||
@@ -200,7 +200,7 @@
     if (job == nullptr)
         return;
     const auto removed =
-        std::erase_if(job->leftover_runs, [&](const leftover_run& other) {
+        std::erase_if(job->leftover_runs, [&](const recorded_run& other) {
             return other.task == task && other.run == run &&
                    other.target == target;
         });
--- a/src/dispatch/job_table.hpp
+++ b/src/dispatch/job_table.hpp
@@ -83,14 +83,14 @@
     std::int32_t steps_done = 0;
 };
 
-/** A run that may still exist although no task waits for its end. */
-struct leftover_run {
+/** A run that may exist on a target. */
+struct recorded_run {
     task_id task;
     std::int32_t run = 0;
     target_id target;
     std::int64_t incarnation = 0; ///< Of that target.
 
-    bool operator==(const leftover_run&) const = default;
+    bool operator==(const recorded_run&) const = default;
 };
 
 /** A job and its progress. */
@@ -103,10 +103,13 @@
     std::int64_t ended_ms = 0; ///< Unix time; 0: not ended.
     millis critical_path{0};   ///< Length by the estimates.
     bool over_rate = false; ///< Its organisation exceeded its submission rate.
-    /** Without those of its tasks, which an ended job still has. */
-    std::vector<leftover_run> leftover_runs;
-    /** The store refused the record of the ended job with these runs. */
-    bool leftover_runs_unstorable = false;
+    /**
+     * Runs that may still exist although no task names them, nor did when the
+     * job ended.
+     */
+    std::vector<recorded_run> leftover_runs;
+    /** The store refused the record of the ended job with its runs. */
+    bool unawaited_runs_unstorable = false;
 
     [[nodiscard]] bool ended() const {
         return state == job_state::completed || state == job_state::failed ||
@@ -116,9 +119,9 @@
 
 /**
  * Runs of a job that a later owner has to count although no task waits for
- * their ends. If the job has ended, those of its tasks are among them.
+ * their ends: its leftover runs and, once it has ended, those of its tasks.
  */
-std::vector<leftover_run> runs_without_waiting_task(const job_entry& job);
+std::vector<recorded_run> unawaited_runs(const job_entry& job);
 
 /** Length of the critical path through the steps of a job, by the estimates. */
 millis critical_path_length(const job_spec& spec);
@@ -180,7 +183,7 @@
      * Keeps a run on record that may still exist although no task waits for its
      * end. Has no effect if the job is unknown or has no such task.
      */
-    void add_leftover_run(const leftover_run& run);
+    void add_leftover_run(const recorded_run& run);
 
     /** A run kept on record does not exist any more. */
     void remove_leftover_run(const task_id& task, std::int32_t run,
--- a/src/dispatch/owner_base.hpp
+++ b/src/dispatch/owner_base.hpp
@@ -352,9 +352,9 @@
     /** Counts and stops the recorded runs for which no task waits. */
     void inherit_leftover_runs(const job_entry& job, const owner_clock& clock);
     /** Returns the target of a recorded run; adds it if it is not listed. */
-    target_state& inherit_target(const leftover_run& run,
+    target_state& inherit_target(const recorded_run& run,
                                  const owner_clock& clock);
-    run_entry& inherit_run(target_state& target, const leftover_run& run,
+    run_entry& inherit_run(target_state& target, const recorded_run& run,
                            const owner_clock& clock);
 
     // owner_handover.cpp
--- a/src/dispatch/owner_refused.cpp
+++ b/src/dispatch/owner_refused.cpp
@@ -24,12 +24,11 @@
 void owner::store_end_without_runs(const job_id& id) {
     job_entry* job = jobs_.find(id);
     if (job == nullptr || !job->ended() ||
-        std::exchange(job->leftover_runs_unstorable, true))
+        std::exchange(job->unawaited_runs_unstorable, true))
         return;
     jobs_.mark_changed(id);
     output_.log("job_runs_unstorable", id,
-                "runs=" +
-                    std::to_string(runs_without_waiting_task(*job).size()));
+                "runs=" + std::to_string(unawaited_runs(*job).size()));
 }
 
 } // namespace rattan::dispatch
--- a/src/dispatch/owner_stop.cpp
+++ b/src/dispatch/owner_stop.cpp
@@ -146,7 +146,7 @@
         if (!current && task->phase == task_phase::placed)
             if (target_state* other = targets_.find(task->target);
                 other != nullptr && other->runs.contains(end.task)) {
-                const leftover_run later{.task = end.task,
+                const recorded_run later{.task = end.task,
                                          .run = task->run,
                                          .target = task->target,
                                          .incarnation = task->incarnation};
--- a/src/dispatch/owner_takeover.cpp
+++ b/src/dispatch/owner_takeover.cpp
@@ -24,7 +24,7 @@
             for (size_t i = 0; i < tasks.size(); ++i) {
                 if (tasks[i].phase != task_phase::placed)
                     continue;
-                const leftover_run run{
+                const recorded_run run{
                     .task = {step, static_cast<std::int32_t>(i)},
                     .run = tasks[i].run,
                     .target = tasks[i].target,
@@ -38,7 +38,7 @@
 
 void owner::inherit_leftover_runs(const job_entry& job,
                                   const owner_clock& clock) {
-    for (const leftover_run& run : job.leftover_runs) {
+    for (const recorded_run& run : job.leftover_runs) {
         target_state& target = inherit_target(run, clock);
         // A later run of the task on the same target holds its room already.
         if (target.runs.contains(run.task))
@@ -47,7 +47,7 @@
     }
 }
 
-target_state& owner::inherit_target(const leftover_run& run,
+target_state& owner::inherit_target(const recorded_run& run,
                                     const owner_clock& clock) {
     target_state* target = targets_.find(run.target);
     if (target == nullptr) {
@@ -67,7 +67,7 @@
     return *target;
 }
 
-run_entry& owner::inherit_run(target_state& target, const leftover_run& run,
+run_entry& owner::inherit_run(target_state& target, const recorded_run& run,
                               const owner_clock& clock) {
     const step_spec& spec = *jobs_.spec(run.task.step);
     return targets_.add_run(
--- a/src/dispatch/record_codec.cpp
+++ b/src/dispatch/record_codec.cpp
@@ -220,9 +220,9 @@
 constexpr std::size_t LEFTOVERS_FIELD = 6;
 
 /** Encodes rows of runs, grouped by target and its incarnation. */
-json encode_leftovers(const std::vector<leftover_run>& runs) {
+json encode_leftovers(const std::vector<recorded_run>& runs) {
     std::map<std::pair<target_id, std::int64_t>, json> by_process;
-    for (const leftover_run& run : runs) {
+    for (const recorded_run& run : runs) {
         json& rows =
             by_process.try_emplace({run.target, run.incarnation}, json::array())
                 .first->second;
@@ -313,8 +313,8 @@
     json out = json::array({static_cast<int>(job.state), job.ended_ms,
                             job.repeats_done, job.next_repeat,
                             std::move(repeats), job.record.organisation});
-    const std::vector<leftover_run> leftovers = runs_without_waiting_task(job);
-    if (!leftovers.empty() && !job.leftover_runs_unstorable)
+    const std::vector<recorded_run> leftovers = unawaited_runs(job);
+    if (!leftovers.empty() && !job.unawaited_runs_unstorable)
         out.push_back(encode_leftovers(leftovers));
     return out.dump(-1, ' ', false, json::error_handler_t::replace);
 }
--- a/tests/owner_order_test.cpp
+++ b/tests/owner_order_test.cpp
@@ -410,7 +410,7 @@
     answer_poll({{.task = task, .run = 5}});
     const auto runs = recorded_runs();
     ASSERT_EQ(runs.size(), 1U);
-    EXPECT_EQ(runs[0], (leftover_run{.task = task,
+    EXPECT_EQ(runs[0], (recorded_run{.task = task,
                                      .run = 5,
                                      .target = TARGET,
                                      .incarnation = INCARNATION}));
