--- a/src/dispatch/job_table.hpp
+++ b/src/dispatch/job_table.hpp
@@ -103,10 +103,7 @@
     std::int64_t ended_ms = 0; ///< Unix time; 0: not ended.
     millis critical_path{0};   ///< Length by the estimates.
     bool over_rate = false; ///< Its organisation exceeded its submission rate.
-    /**
-     * Runs that may still exist although no task names them, nor did when the
-     * job ended.
-     */
+    /** Runs that may still exist although no task of the job names them. */
     std::vector<recorded_run> leftover_runs;
     /** The store refused the record of the ended job with its runs. */
     bool unawaited_runs_unstorable = false;
