--- a/tests/late_start_test.cpp
+++ b/tests/late_start_test.cpp
@@ -71,6 +71,8 @@
         first.next();
     EXPECT_TRUE(first.exhausted());
     EXPECT_EQ(first.next(), TOKENS_PER_CLAIM);
+    // An owner of an earlier version uses its epoch alone.
+    EXPECT_EQ(fencing_tokens(7 + TOKENS_PER_CLAIM).next(), 8);
     fencing_tokens second(2 * TOKENS_PER_CLAIM);
     EXPECT_FALSE(second.exhausted());
     EXPECT_EQ(second.next(), TOKENS_PER_CLAIM + 1);
