--- a/tests/owner_order_test.cpp
+++ b/tests/owner_order_test.cpp
@@ -166,6 +166,18 @@
             {.answered = done, .sent = true, .done = done});
     }
 
+    /** As a later owner reads them for a job of one task. */
+    [[nodiscard]] std::vector<recorded_run>
+    leftover_runs_of(const std::string& id) const {
+        job_record record{.id = {id}, .queue = {"q"}};
+        record.spec.steps = {{.count = 1}};
+        job_entry job{.record = std::move(record)};
+        for (const store_record& stored : output.stored)
+            if (stored.key == progress_key({id}))
+                apply_progress(job, stored.value);
+        return job.leftover_runs;
+    }
+
     std::int64_t now_ms = 1000;
     int stored_calls = 0;
     order_log output;
@@ -395,20 +407,11 @@
 // against a later owner that learns of it only from the target, which may not
 // answer any more, and starts the task beside it.
 TEST_F(owner_order, run_that_no_record_names_is_recorded_until_it_ends) {
-    const auto recorded_runs = [this] {
-        job_record record{.id = {"first"}, .queue = {"q"}};
-        record.spec.steps = {{.count = 1}};
-        job_entry job{.record = std::move(record)};
-        for (const store_record& stored : output.stored)
-            if (stored.key == progress_key({"first"}))
-                apply_progress(job, stored.value);
-        return job.leftover_runs;
-    };
     under_test.set_evacuated({{"dc1"}}); // Nothing is placed.
     accept("first", {.estimate = millis(1000)});
     const task_id task{{{"first"}, 0, 0}, 0};
     answer_poll({{.task = task, .run = 5}});
-    const auto runs = recorded_runs();
+    const auto runs = leftover_runs_of("first");
     ASSERT_EQ(runs.size(), 1U);
     EXPECT_EQ(runs[0], (recorded_run{.task = task,
                                      .run = 5,
@@ -421,7 +424,7 @@
         clock());
     tick();
     answer_poll({});
-    EXPECT_TRUE(recorded_runs().empty());
+    EXPECT_TRUE(leftover_runs_of("first").empty());
 }
 
 // A target lists runs with numbers that no owner gives out. Guards against a
@@ -434,11 +437,5 @@
                  {.task = {{{"first"}, 0, 0}, 1}, .run = 1},
                  {.task = {{{"first"}, MAX_INT, 0}, 0}, .run = 1}});
     EXPECT_EQ(output.stops.size(), 3U);
-    job_record record{.id = {"first"}, .queue = {"q"}};
-    record.spec.steps = {{.count = 1}};
-    job_entry job{.record = std::move(record)};
-    for (const store_record& stored : output.stored)
-        if (stored.key == progress_key({"first"}))
-            apply_progress(job, stored.value);
-    EXPECT_TRUE(job.leftover_runs.empty());
+    EXPECT_TRUE(leftover_runs_of("first").empty());
 }
