Owner: log the leftover runs that a takeover counts

On call, the logs could not tell an owner that does not know of the runs of an ended job from one that takes their leases for over: a new owner's log named neither. It writes one line for each job with such runs now, with their number and the target of the first.

--- a/src/dispatch/owner_takeover.cpp
+++ b/src/dispatch/owner_takeover.cpp
@@ -38,6 +38,10 @@
 
 void owner::inherit_leftover_runs(const job_entry& job,
                                   const owner_clock& clock) {
+    if (!job.leftover_runs.empty())
+        output_.log("leftover_runs", job.record.id,
+                    "runs=" + std::to_string(job.leftover_runs.size()) +
+                        " first=" + job.leftover_runs[0].target.value);
     for (const recorded_run& run : job.leftover_runs) {
         target_state& target = inherit_target(run, clock);
         // A later run of the task on the same target holds its room already.
