--- a/src/dispatch/dispatch_type.hpp
+++ b/src/dispatch/dispatch_type.hpp
@@ -150,7 +150,8 @@
 struct std::hash<rattan::dispatch::step_ref> {
     std::size_t operator()(const rattan::dispatch::step_ref& step) const {
         return std::hash<std::string>()(step.job.value) * 31 +
-               static_cast<std::size_t>(step.repeat * 64 + step.step);
+               static_cast<std::size_t>(step.repeat) * 64 +
+               static_cast<std::size_t>(step.step);
     }
 };
 
