Settings: switches for scheduling features, all off where places are in force

Cause: what is new for uneven load must take effect only where the settings of a deployment call for it, and there was no place to say so. Change: scheduling_policy with four switches (scheduling.order, .placement, .advice, .completion). Without these settings they are on where the terms in `contracts` say nothing about places, and off elsewhere.

--- a/src/dispatch/owner_base.hpp
+++ b/src/dispatch/owner_base.hpp
@@ -7,6 +7,7 @@
 #include "dispatch/job_table.hpp"
 #include "dispatch/lease_type.hpp"
 #include "dispatch/route_type.hpp"
+#include "dispatch/scheduling_policy.hpp"
 #include "dispatch/target_table.hpp"
 
 #include <functional>
@@ -81,6 +82,15 @@
     millis state_retention{120'000};
     /** Time for which a tail latency may exceed its target. */
     millis tail_violation_limit{4000};
+    /** The window over which a submission rate counts, and its tolerance. */
+    millis rate_window{1000};
+    double rate_overage = 0;
+    double rate_slack_jobs = 0;
+    /** How much longer a task takes away from its data or its peers. */
+    double remote_factor = 1;
+    millis checkpoint_interval{0}; ///< Work between two checkpoints.
+    millis restore_time{0};        ///< To resume from a checkpoint.
+    scheduling_policy scheduling;
 };
 
 /** Current time, passed to the owner with each event. */
--- a/src/front/owner_service.cpp
+++ b/src/front/owner_service.cpp
@@ -72,6 +72,14 @@
     out.stop_duration = settings.stop_duration;
     out.state_retention = settings.state_retention;
     out.tail_violation_limit = settings.tail_violation_limit;
+    if (settings.rate_window.count() > 0)
+        out.rate_window = settings.rate_window;
+    out.rate_overage = settings.rate_overage;
+    out.rate_slack_jobs = settings.rate_slack_jobs;
+    out.remote_factor = settings.remote_factor;
+    out.checkpoint_interval = settings.checkpoint_interval;
+    out.restore_time = settings.restore_time;
+    out.scheduling = settings.scheduling;
     return out;
 }
 
