Owner: acknowledge no end unread while a start may still arrive

Cause: send_poll took a process for one without ends once its runs were released, though a start without an answer may be carried out up to 15 s later by a process that takes its place; a poll that only renews the lease then acknowledged the end of that run unread. Change: starts without an answer count until they can no longer arrive.

--- a/src/dispatch/owner_poll.cpp
+++ b/src/dispatch/owner_poll.cpp
@@ -66,10 +66,11 @@
                                                              : LONG_POLL_WAIT;
     // A process that has taken the place of the known one would forget its own
     // ends up to this number. It has none unless it carried out a start, nor
-    // right after an answer of the known one.
+    // right after an answer of the known one. A start without an answer may
+    // arrive after its run has been stopped and released.
     const bool ends_of_known_process =
         target.responsive && target.restart_suspected == mono_time{} &&
-        (!start_outstanding(target) ||
+        ((!start_outstanding(target) && !target.start_may_arrive(clock.now)) ||
          clock.now - target.clock_received_at <= MIN_RESTART_TIME);
     poll_order order{.fencing_token = target.fencing_token,
                      .last_seen =
--- a/tests/owner_order_test.cpp
+++ b/tests/owner_order_test.cpp
@@ -439,3 +439,54 @@
     EXPECT_EQ(output.stops.size(), 3U);
     EXPECT_TRUE(leftover_runs_of("first").empty());
 }
+
+// A start without an answer is stopped and its run released, yet a process that
+// takes the place of the known one may still carry it out. Guards against
+// acknowledging an end of that process unread, by the position of the earlier.
+TEST_F(owner_order, no_end_is_acknowledged_while_a_start_may_arrive) {
+    accept("first", {});
+    accept("second", {});
+    confirm_start(output.starts.at(0));
+    confirm_start(output.starts.at(1));
+    const auto answer_end = [&](std::int64_t sequence) {
+        const task_id& task =
+            output.starts.at(static_cast<std::size_t>(sequence) - 1).task;
+        under_test.poll_answered(
+            TARGET,
+            {.order = {.answered = true,
+                       .sent = true,
+                       .done = true,
+                       .clock_ms = now_ms},
+             .complete = false,
+             .incarnation = INCARNATION,
+             .ended = {{.sequence = sequence, .task = task, .run = 1}}},
+            clock().now, clock());
+    };
+    answer_end(1);
+    tick();
+    tick();
+    EXPECT_EQ(output.polls.back().last_seen, 1);
+    accept("third", {});
+    const start_order late = output.starts.at(2);
+    under_test.set_evacuated({{"dc1"}}); // The task is not placed again.
+    under_test.start_answered(TARGET, late.task, late.run, {.sent = true},
+                              clock());
+    tick();
+    under_test.stop_answered(
+        TARGET, late.task, late.run,
+        {.answered = true, .sent = true, .done = true, .clock_ms = now_ms},
+        clock());
+    tick();
+    answer_poll({{.task = output.starts.at(1).task, .run = 1}});
+    ASSERT_EQ(under_test.targets().all().at(TARGET).runs.size(), 1U);
+    // The store is slow to take the next end, so polls renew the lease only.
+    answer_end(2);
+    under_test.ownership_confirmed(clock().now);
+    under_test.tick(clock());
+    const std::size_t polls = output.polls.size();
+    now_ms += 900;
+    under_test.ownership_confirmed(clock().now);
+    under_test.tick(clock());
+    ASSERT_EQ(output.polls.size(), polls + 1);
+    EXPECT_EQ(output.polls.back().last_seen, 0);
+}
