Front: a question for a job waits for its last runs, where settings ask for it

Change: with scheduling.completion=awaited a question waits up to 400 ms while all tasks that have not ended are placed and no step is still to come.

--- a/src/dispatch/owner_base.cpp
+++ b/src/dispatch/owner_base.cpp
@@ -359,6 +359,22 @@
            job->state != job_state::cancelled;
 }
 
+bool owner::last_runs_placed(const job_id& id) const {
+    const job_entry* job = jobs_.find(id);
+    if (!settings_.scheduling.await_completion || job == nullptr ||
+        job->ended() || job->state != job_state::running ||
+        job->record.spec.repeats > 0)
+        return false;
+    const std::vector<step_spec>& specs = job->record.spec.steps;
+    for (const auto& [number, repeat] : job->repeats)
+        for (size_t s = 0; s < repeat.steps.size(); ++s) {
+            const step_entry& step = repeat.steps[s];
+            if (specs[s].long_lived || !step.ready || step.waiting > 0)
+                return false;
+        }
+    return true;
+}
+
 std::int64_t owner::waiting_in(const queue_id& queue) const {
     return std::count_if(
         live_jobs_.begin(), live_jobs_.end(), [&](const job_id& id) {
--- a/src/dispatch/owner_base.hpp
+++ b/src/dispatch/owner_base.hpp
@@ -201,6 +201,11 @@
      * that `state_of` does not return the end yet.
      */
     [[nodiscard]] bool end_unstored(const job_id& job) const;
+    /**
+     * Tells whether the job ends with the runs that are placed now, so that its
+     * end may come at any moment. Never if questions do not wait for that.
+     */
+    [[nodiscard]] bool last_runs_placed(const job_id& job) const;
     [[nodiscard]] std::int64_t waiting_in(const queue_id& queue) const;
     [[nodiscard]] const job_table& jobs() const { return jobs_; }
     [[nodiscard]] const target_table& targets() const { return targets_; }
--- a/src/front/front_service.hpp
+++ b/src/front/front_service.hpp
@@ -76,6 +76,15 @@
      */
     [[nodiscard]] static millis
     remaining_state_wait(const pending_request& pending);
+    /** Replies with the state that this host knows, once its end is stored. */
+    void reply_own_state(const std::shared_ptr<pending_request>& pending);
+    /**
+     * As the owner, calls `done` once the job has ended with its last runs, but
+     * soon in any case.
+     * @return False, and `done` is not called, if there is nothing to wait for.
+     */
+    bool wait_for_last_runs(const job_id& job, millis wait,
+                            std::function<void()> done);
     /**
      * As the owner, calls `done` once the end of a job is stored, but no later
      * than after `wait`.
--- a/src/front/front_state.cpp
+++ b/src/front/front_state.cpp
@@ -22,6 +22,12 @@
 constexpr int STATE_WAIT_DIVISOR = 2;
 /** Shorter than a shutdown, which pending questions delay. */
 constexpr millis MAX_STATE_WAIT{2000};
+/**
+ * The same while the last runs of the job are still under way. Clients ask as
+ * soon as these runs have ended and then again after 250 ms; the end takes up
+ * to 80 ms to be stored.
+ */
+constexpr millis MAX_COMPLETION_WAIT{400};
 
 } // namespace
 
@@ -48,15 +54,11 @@
 void front_service::reply_current_state(
     const std::shared_ptr<pending_request>& pending) {
     if (const auto state = known_state(pending->job, pending->organisation)) {
-        const auto reply_again = [this, pending] {
-            reply_waited_state(
-                pending, known_state(pending->job, pending->organisation));
-        };
-        if (*state == job_state::running &&
-            wait_for_stored_end(pending->job, remaining_state_wait(*pending),
-                                reply_again))
-            return;
-        return reply_state(pending, *state);
+        if (*state != job_state::running ||
+            !wait_for_last_runs(pending->job, remaining_state_wait(*pending),
+                                [this, pending] { reply_own_state(pending); }))
+            reply_own_state(pending);
+        return;
     }
     const std::string& address = members_.owner().address;
     if (owner_ || address.empty() || owner_silent())
@@ -64,8 +66,12 @@
     wire::job_state_request request;
     request.job = pending->job.value;
     request.organisation = pending->organisation.value;
+    millis wait{0};
+    if (settings_.scheduling.await_completion && !shutting_down_)
+        wait = std::min(remaining_state_wait(*pending), MAX_COMPLETION_WAIT);
+    request.wait_ms = static_cast<std::int32_t>(wait.count());
     members_.peer(address).call(
-        wire::method::JOB_STATE, wire_encode(request), CALL_TIMEOUT,
+        wire::method::JOB_STATE, wire_encode(request), CALL_TIMEOUT + wait,
         [this, pending, address](const rpc_call_result& answer) {
             if (!answer.ok())
                 return ask_state_reader(pending, 0);
@@ -76,6 +82,21 @@
         });
 }
 
+void front_service::reply_own_state(
+    const std::shared_ptr<pending_request>& pending) {
+    const auto state = known_state(pending->job, pending->organisation);
+    const auto reply_again = [this, pending] {
+        reply_waited_state(pending,
+                           known_state(pending->job, pending->organisation));
+    };
+    if (state == job_state::running &&
+        wait_for_stored_end(pending->job, remaining_state_wait(*pending),
+                            reply_again))
+        return;
+    // This host may have lost the cell while the question waited.
+    reply_state(pending, state.value_or(job_state::running));
+}
+
 void front_service::ask_for_stored_end(
     const std::shared_ptr<pending_request>& pending,
     const std::string& owner_address) {
@@ -137,6 +158,19 @@
     return true;
 }
 
+bool front_service::wait_for_last_runs(const job_id& job, millis wait,
+                                       std::function<void()> done) {
+    if (shutting_down_ || wait <= millis(0) || !owner_ ||
+        !owner_->decisions().last_runs_placed(job))
+        return false;
+    wait = std::min(wait, MAX_COMPLETION_WAIT);
+    if (!state_waiters_.add(job, event_loop::now() + wait, std::move(done)))
+        return false;
+    ++metrics_.counter("completion_waits");
+    loop_.after(wait, [this] { state_waiters_.expire(event_loop::now()); });
+    return true;
+}
+
 void front_service::ask_state_reader(
     const std::shared_ptr<pending_request>& pending, std::size_t attempt) {
     const auto readers =
@@ -185,7 +219,9 @@
                              owner_->decisions().end_unstored({request.job});
         answer(wire::status::OK, wire_encode(reply));
     };
-    if (!wait_for_stored_end({request.job}, millis(request.wait_ms), reply_now))
+    const millis wait(request.wait_ms);
+    if (!wait_for_stored_end({request.job}, wait, reply_now) &&
+        !wait_for_last_runs({request.job}, wait, reply_now))
         reply_now();
 }
 
--- a/tests/process_front_test.cpp
+++ b/tests/process_front_test.cpp
@@ -113,7 +113,8 @@
                "bounds.maxHoldMs=6000\nbounds.stopMs=200\n"
                "bounds.gangWaitMs=3000\nbounds.graceS=6\n"
                "bounds.harmMs=4000\nunknown.field=x\nbounds.status_s="
-            << status_retention_s_ << "\n";
+            << status_retention_s_ << "\n"
+            << further_settings_;
         out.close();
         hosts_[host] = spawn("rattan_front", {"--settings=" + path.string()});
     }
@@ -226,6 +227,18 @@
             .value(field, -1);
     }
 
+    /** Value of a counter of a host; 0 if it has none. */
+    int metric(const std::string& name, int host) {
+        const std::string text =
+            send_http_request({.url = "http://" + network_prefix_ +
+                                      std::to_string(host) + ":9464/metrics"})
+                .body;
+        const auto at = text.find(name + " ");
+        return at == std::string::npos
+                   ? 0
+                   : std::stoi(text.substr(at + name.size() + 1));
+    }
+
     static void wait_for(const std::string& what,
                          const std::function<bool()>& done) {
         const auto deadline = std::chrono::steady_clock::now() + WAIT_TIMEOUT;
@@ -255,6 +268,7 @@
     std::filesystem::path work_dir_;
     pid_t platform_pid_ = 0;
     int status_retention_s_ = 120; ///< For hosts started afterwards.
+    std::string further_settings_; ///< Lines for hosts started afterwards.
     /** Ends that nobody learned of, so that their tasks had to run again. */
     int lost_ends_ = 0;
     std::map<int, pid_t> hosts_;
@@ -654,6 +668,28 @@
     EXPECT_EQ(at_other.get().state, "completed");
 }
 
+// The last task of a job runs. Guards against callers who ask shortly before
+// its end and learn of it at their next question only.
+TEST_F(front_process_test, a_question_waits_for_the_last_task) {
+    further_settings_ = "scheduling.completion=awaited\n";
+    for (const int host : {1, 2, 3}) {
+        kill_process(hosts_.at(host));
+        start_host(host);
+    }
+    submit(job_name(1), 1, 1, 1500);
+    wait_for("the task to start", [&] { return audit_count("present") == 1; });
+    const int owner = owner_host();
+    ASSERT_GT(owner, 0);
+    const int asked = 1 + owner % 3;
+    std::string state = "running";
+    wait_for("the end of the job", [&] {
+        state = timed_job_state(job_name(1), asked).state;
+        return state != "running";
+    });
+    EXPECT_EQ(state, "completed");
+    EXPECT_GT(metric("rattan_completion_waits_total", owner), 0);
+}
+
 // The store stays away. Guards against callers that get no answer before they
 // give up.
 TEST_F(front_process_test,
