Tests: cell with kinds and sizes of targets; hash of all starts

Cause: placement by expected end must change no choice while its switch is off, and its loads need targets of different speed and size.

--- a/tests/dispatch_world.cpp
+++ b/tests/dispatch_world.cpp
@@ -3,6 +3,8 @@
 #include "dispatch/record_codec.hpp"
 #include "dispatch/route_func.hpp"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <cmath>
 
@@ -48,6 +50,16 @@
             .labels = {"a", "r1-" + std::to_string(i / TARGETS_PER_RACK)},
             .rack = "r1-" + std::to_string(i / TARGETS_PER_RACK),
             .incarnation = WALL_OFFSET};
+        const auto index = static_cast<size_t>(i);
+        if (!options.kinds.empty()) {
+            const target_kind& kind =
+                options.kinds[index % options.kinds.size()];
+            target.entry.labels[0] = kind.label;
+            target.slowness = kind.slowness;
+        }
+        if (!options.sizes.empty())
+            target.entry.capacity.milli_cores =
+                options.sizes[index % options.sizes.size()];
         target.clock_offset = CLOCK_OFFSET_STEP * (i + 1);
         listed_[target.entry.id] = target.entry;
         targets_.push_back(std::move(target));
@@ -211,6 +223,46 @@
                      static_cast<double>(step.count()) * slowdown->second));
 }
 
+millis simulated_cell::run_time(const task_id& task, int index) {
+    const fake_target& target = targets_[static_cast<size_t>(index)];
+    double factor = target.slowness * target.slowdown;
+    if (options_.run_noise_percent > 0) {
+        const std::string key =
+            task.step.job.value + "/" + std::to_string(task.step.step) + "/" +
+            std::to_string(task.index) + "/" + target.entry.id.value;
+        const auto percent =
+            XXH64(key.data(), key.size(), options_.seed) %
+            static_cast<std::uint64_t>(options_.run_noise_percent + 1);
+        factor *= 1 + static_cast<double>(percent) / 100;
+    }
+    return millis(static_cast<std::int64_t>(
+        static_cast<double>(actual_duration(task).count()) * factor));
+}
+
+void simulated_cell::count_start(int target, const start_order& order) {
+    ++starts_;
+    ++starts_by_target_[target];
+    const job_id& job = order.task.step.job;
+    const std::string line = std::to_string(now_) + " " + job.value + "." +
+                             std::to_string(order.task.step.repeat) + "." +
+                             std::to_string(order.task.step.step) + "." +
+                             std::to_string(order.task.index) + "#" +
+                             std::to_string(order.run) + "@" +
+                             std::to_string(target);
+    starts_hash_ = XXH64(line.data(), line.size(), starts_hash_);
+    ++starts_by_kind_[{accepted_.at(job).queue.value,
+                       targets_[static_cast<size_t>(target)].entry.labels[0]}];
+}
+
+std::vector<millis>
+simulated_cell::durations_of(const std::string& queue) const {
+    std::vector<millis> out;
+    for (const auto& [id, job] : jobs_)
+        if (job.queue == queue && job.ended_at > 0)
+            out.emplace_back(job.ended_at - job.at);
+    return out;
+}
+
 job_spec simulated_cell::actual_spec(const job_spec& spec, const job_id& job) {
     job_spec out = spec;
     if (options_.estimate_error <= 0)
@@ -226,7 +278,7 @@
 
 void simulated_cell::start(const target_address& address,
                            const start_order& order) {
-    ++starts_;
+    count_start(index_of(address.id), order);
     const int life = targets_[static_cast<size_t>(index_of(address.id))].lives;
     const auto unanswered = [this, address, order, epoch = epoch_] {
         if (epoch != epoch_)
@@ -302,11 +354,7 @@
                 ++overlapping_held_runs_;
         }
         const millis takes =
-            target.failing
-                ? millis(20)
-                : millis(static_cast<std::int64_t>(
-                      static_cast<double>(actual_duration(order.task).count()) *
-                      target.slowdown));
+            target.failing ? millis(20) : run_time(order.task, index);
         target.runs[order.task] = {
             order.run, now_,
             spec.long_lived ? std::numeric_limits<std::int64_t>::max()
@@ -630,6 +678,7 @@
     pending_appends_.clear();
     owner_settings settings;
     settings.epoch = epoch_;
+    settings.scheduling = options_.scheduling;
     owner_ = std::make_unique<owner>(settings, *this);
     if (!config_withheld_)
         owner_->set_config(config_);
--- a/tests/dispatch_world.hpp
+++ b/tests/dispatch_world.hpp
@@ -17,6 +17,12 @@
 
 namespace rattan::dispatch::testing {
 
+/** Targets with the same first label. */
+struct target_kind {
+    std::string label;
+    double slowness = 1; ///< Factor of all run times.
+};
+
 /** Size and latencies of a simulated cell. */
 struct simulation_options {
     std::uint32_t seed = 1;
@@ -34,6 +40,13 @@
     double target_clock_rate = 1;
     /** Standard deviation of the logarithm of actual duration over estimate. */
     double estimate_error = 0;
+    scheduling_policy scheduling;
+    /** Kinds of targets in turn; empty: all of kind "a". */
+    std::vector<target_kind> kinds;
+    /** Milli-cores of the targets in turn; empty: by `target_cores`. */
+    std::vector<std::int64_t> sizes;
+    /** Runs take up to this many percent longer, by task and target. */
+    int run_noise_percent = 0;
 };
 
 /** Distribution of the jobs of a queue. */
@@ -197,6 +210,21 @@
         return starts_after_held_success_;
     }
     [[nodiscard]] int starts() const { return starts_; }
+    /** Hash of the times, tasks, runs and targets of all start orders. */
+    [[nodiscard]] std::uint64_t starts_hash() const { return starts_hash_; }
+    /** Start orders for tasks of a queue to targets of a kind. */
+    [[nodiscard]] int starts_on_kind(const std::string& queue,
+                                     const std::string& label) const {
+        const auto found = starts_by_kind_.find({queue, label});
+        return found == starts_by_kind_.end() ? 0 : found->second;
+    }
+    [[nodiscard]] int starts_on(int target) const {
+        const auto found = starts_by_target_.find(target);
+        return found == starts_by_target_.end() ? 0 : found->second;
+    }
+    /** From submission to stored end, for the ended jobs of a queue. */
+    [[nodiscard]] std::vector<millis>
+    durations_of(const std::string& queue) const;
     [[nodiscard]] int polls() const { return polls_; }
     /**
      * Starts sent to an earlier process of their target that were carried out
@@ -304,6 +332,7 @@
         bool reached = false; ///< The process has answered a poll.
         bool failing = false;
         bool refusing = false;
+        double slowness = 1; ///< Of its kind.
         double slowdown = 1;
         std::function<void()> pending_poll;
     };
@@ -370,6 +399,9 @@
     void begin_ownership(std::optional<lease_handover> handover);
     int index_of(const target_id& id) const;
     [[nodiscard]] millis actual_duration(const task_id& task);
+    /** Run time of a task on a target. */
+    [[nodiscard]] millis run_time(const task_id& task, int target);
+    void count_start(int target, const start_order& order);
     /** The job with actual durations in place of the estimates. */
     [[nodiscard]] job_spec actual_spec(const job_spec& spec, const job_id& job);
     void flush_store();
@@ -425,6 +457,9 @@
     std::set<task_id> succeeded_;
     std::set<task_id> held_successes_;
     int starts_ = 0;
+    std::uint64_t starts_hash_ = 0;
+    std::map<std::pair<std::string, std::string>, int> starts_by_kind_;
+    std::map<int, int> starts_by_target_;
     int polls_ = 0;
     int starts_with_old_ticket_ = 0;
     int starts_in_reached_process_ = 0;
