Placement: by expected end, with slack and spreading (switch)

Change: with scheduling.placement=expected_end the speeds of all targets are computed every 50 ms, and place_step, place_gang and request_advice order by class of expected end, then best fit. Steps without slack take the fast kind, as far as it has room for all their tasks; steps with slack and lasting ones take the slow kind first. One target gets half of the tasks of a step if others are as fast. A target twice as slow gets no work for 3 s, then a single task. A line target_speeds in the log names the speeds and the starts by class. Without the switch no choice changes (placement_unchanged_test).

--- a/src/dispatch/owner_base.hpp
+++ b/src/dispatch/owner_base.hpp
@@ -8,6 +8,7 @@
 #include "dispatch/lease_type.hpp"
 #include "dispatch/route_type.hpp"
 #include "dispatch/scheduling_policy.hpp"
+#include "dispatch/speed_table.hpp"
 #include "dispatch/target_table.hpp"
 
 #include <functional>
@@ -220,6 +221,8 @@
         int lateness = 0; ///< 0: in time, 1: late, 2: too late to be of value.
         /** Unix time at which the objective is missed. */
         std::int64_t due_ms = 0;
+        /** From the start of the step to the end of the job, by estimates. */
+        millis remaining{0};
         const step_spec* spec = nullptr;
         const queue_config* queue = nullptr;
     };
@@ -275,6 +278,41 @@
     void send_start(target_state& target, const task_id& task, run_entry& run,
                     const owner_clock& clock);
 
+    // owner_expected_end.cpp
+    /** Which targets a step takes first. */
+    enum class speed_preference : std::uint8_t {
+        fast,
+        slow, ///< Meets its objective on the slow kind as well.
+        none, ///< Best fit; only single slow targets come last.
+    };
+    /** Computes the expected speed of the schedulable targets. */
+    void update_speeds(mono_time now);
+    void record_speed(const target_state& target, const run_entry& run,
+                      const task_id& task, mono_time now);
+    /** Runs that take too long show a slow target before they end. */
+    void record_unfinished(target_state& target, mono_time now);
+    [[nodiscard]] speed_preference
+    preferred_speed(const runnable_step& step, const owner_clock& clock) const;
+    /** 0: a target that advice is asked about first; otherwise 1. */
+    [[nodiscard]] int advice_rank(speed_preference preference,
+                                  const target_state& target) const;
+    /** Class of the slowest kind that a run of the step is on; -1: no run. */
+    [[nodiscard]] int slowest_placed(const runnable_step& step);
+    /**
+     * Sorts the candidates by the expected end of a task there.
+     * @return A target for each waiting task of a step that is not a gang, as
+     * far as there is room.
+     */
+    std::vector<target_state*>
+    order_by_expected_end(const runnable_step& step,
+                          std::vector<target_state*>& candidates,
+                          const owner_clock& clock);
+    /** Targets of the members of a gang; empty if they don't fit. */
+    [[nodiscard]] std::vector<target_state*>
+    fastest_for_gang(const runnable_step& step,
+                     const std::vector<target_state*>& candidates,
+                     const owner_clock& clock) const;
+
     // owner_poll.cpp
     void send_due_polls(const owner_clock& clock);
     /**
@@ -406,6 +444,11 @@
     target_table targets_;
     advice_table advice_;
     crash_suspects suspects_;
+    speed_table speeds_;
+    mono_time next_ranking_{};
+    mono_time next_speed_log_{};
+    /** Runs placed since the last line in the log, by class of their target. */
+    std::map<int, int> placed_by_class_;
     /** Jobs that have not ended, or whose end is not stored yet. */
     std::set<job_id> live_jobs_;
     /** Live jobs that start repeats at times of their own. */
--- a/src/dispatch/owner_place.cpp
+++ b/src/dispatch/owner_place.cpp
@@ -52,6 +52,7 @@
 /** A target about which the advice service may be asked. */
 struct advice_candidate {
     bool unknown = true; ///< Not known to be eligible.
+    int rank = 0;        ///< By `owner::advice_rank`.
     std::int32_t slots = 0;
     std::size_t spread = 0; ///< Orders equal targets differently for each job.
     std::string_view name;
@@ -61,8 +62,8 @@
      * be renewed; then those with most room.
      */
     bool operator<(const advice_candidate& other) const {
-        return std::tuple(unknown, -slots, spread, name) <
-               std::tuple(other.unknown, -other.slots, other.spread,
+        return std::tuple(unknown, rank, -slots, spread, name) <
+               std::tuple(other.unknown, other.rank, -other.slots, other.spread,
                           other.name);
     }
 };
@@ -119,6 +120,7 @@
                      .over_rate = job.over_rate,
                      .lateness = spec.long_lived ? 0 : lateness,
                      .due_ms = start_ms + objective,
+                     .remaining = estimate.remaining[s],
                      .spec = &spec,
                      .queue = queue});
             }
@@ -152,6 +154,8 @@
             std::max(largest_free_.memory_mib, available.memory_mib),
             std::max(largest_free_.accelerators, available.accelerators)};
     }
+    if (settings_.scheduling.place_by_expected_end)
+        update_speeds(now);
 }
 
 void owner::schedule(const owner_clock& clock) {
@@ -182,7 +186,7 @@
 
 std::int32_t owner::free_slots(const runnable_step& step,
                                const target_state& target) const {
-    if (target.exclusive)
+    if (target.exclusive || target.avoided)
         return 0;
     std::int32_t slots =
         slots_for(target.free_resources(),
@@ -207,7 +211,7 @@
         slots = std::min(slots, step.spec->max_tasks_per_target - present);
     }
     // A degraded target is probed with a single task.
-    if (target.degraded)
+    if (target.degraded || target.speed.probing)
         slots = std::min(slots, target.has_finite_run() ? 0 : 1);
     return std::max(0, slots);
 }
@@ -241,20 +245,26 @@
     // go where most is free. A step stays near its data.
     const bool best_effort = step.spec->best_effort;
     const std::string& rack = step.spec->preferred_rack;
-    std::sort(candidates.begin(), candidates.end(),
-              [&](const target_state* a, const target_state* b) {
-                  if (a->unproven_suspect != b->unproven_suspect)
-                      return b->unproven_suspect;
-                  const bool a_far = !rack.empty() && a->entry.rack != rack;
-                  const bool b_far = !rack.empty() && b->entry.rack != rack;
-                  if (a_far != b_far)
-                      return b_far;
-                  const std::int64_t a_free = a->free_resources().milli_cores;
-                  const std::int64_t b_free = b->free_resources().milli_cores;
-                  if (a_free != b_free)
-                      return best_effort ? a_free > b_free : a_free < b_free;
-                  return a->entry.id < b->entry.id;
-              });
+    const bool by_end = settings_.scheduling.place_by_expected_end;
+    std::vector<target_state*> slots; // One for each task.
+    if (by_end)
+        slots = order_by_expected_end(step, candidates, clock);
+    else
+        std::sort(
+            candidates.begin(), candidates.end(),
+            [&](const target_state* a, const target_state* b) {
+                if (a->unproven_suspect != b->unproven_suspect)
+                    return b->unproven_suspect;
+                const bool a_far = !rack.empty() && a->entry.rack != rack;
+                const bool b_far = !rack.empty() && b->entry.rack != rack;
+                if (a_far != b_far)
+                    return b_far;
+                const std::int64_t a_free = a->free_resources().milli_cores;
+                const std::int64_t b_free = b->free_resources().milli_cores;
+                if (a_free != b_free)
+                    return best_effort ? a_free > b_free : a_free < b_free;
+                return a->entry.id < b->entry.id;
+            });
     const bool suspects = suspects_.active();
     if (step.spec->gang) {
         if (suspects)
@@ -262,9 +272,10 @@
         place_gang(step, candidates, clock);
     } else {
         step_entry& entry = *jobs_.find(step.ref);
+        const std::vector<target_state*>& order = by_end ? slots : candidates;
         size_t position = 0;
-        for (size_t i = 0;
-             i < entry.tasks.size() && position < candidates.size(); ++i) {
+        for (size_t i = 0; i < entry.tasks.size() && position < order.size();
+             ++i) {
             const task_entry& task = entry.tasks[i];
             if (task.phase != task_phase::waiting ||
                 targets_.has_run({step.ref, static_cast<std::int32_t>(i)}) ||
@@ -273,21 +284,23 @@
                 continue;
             if (!step.spec->demand.fits_in(remaining_quota(step)))
                 return;
-            while (position < candidates.size() &&
-                   free_slots(step, *candidates[position]) == 0)
+            while (position < order.size() &&
+                   free_slots(step, *order[position]) == 0)
                 ++position;
-            if (position == candidates.size())
+            if (position == order.size())
                 break;
-            target_state* choice = candidates[position];
+            target_state* choice = order[position];
             if (choice->entry.id == task.avoid_target)
-                for (size_t other = position + 1; other < candidates.size();
-                     ++other)
-                    if (free_slots(step, *candidates[other]) > 0) {
+                for (size_t other = by_end ? 0 : position + 1;
+                     other < candidates.size(); ++other)
+                    if (candidates[other] != choice &&
+                        free_slots(step, *candidates[other]) > 0) {
                         choice = candidates[other];
                         break;
                     }
             place_task(step, static_cast<std::int32_t>(i), task.run + 1,
                        *choice, clock);
+            position += by_end ? 1 : 0;
         }
         if (suspects)
             place_suspects(step, candidates, clock);
@@ -345,7 +358,12 @@
         return selected.size() == static_cast<size_t>(count);
     };
     bool fits = false;
-    if (step.spec->same_rack) {
+    if (settings_.scheduling.place_by_expected_end) {
+        selected = fastest_for_gang(step, candidates, clock);
+        if (selected.empty())
+            return;
+        fits = true;
+    } else if (step.spec->same_rack) {
         std::set<std::string> racks;
         for (const target_state* target : candidates)
             racks.insert(target->entry.rack);
@@ -385,6 +403,8 @@
          .ticket_expires = ticket.expires,
          .phase_since = clock.now,
          .tail_latency_target = step.spec->tail_latency_target});
+    if (settings_.scheduling.place_by_expected_end)
+        ++placed_by_class_[speed_class(target.speed.slowness)];
     suspects_.placed(target, task);
     unstored_runs_.emplace_back(target.entry.id, task);
 }
@@ -408,6 +428,11 @@
     const auto hash = std::hash<std::string>();
     const std::size_t seed = hash(step.ref.job.value);
     std::vector<advice_candidate> candidates;
+    const speed_preference preference =
+        settings_.scheduling.place_by_expected_end
+            ? preferred_speed(step, clock)
+            : speed_preference::none;
+    double preferred_slots = 0;
     for (const target_state* target : schedulable_) {
         const std::int32_t slots = free_slots(step, *target);
         const target_id& id = target->entry.id;
@@ -415,19 +440,25 @@
             advice.ineligible.contains(id) ||
             advice.valid_ticket(id, clock.now) != nullptr)
             continue;
+        const int rank = advice_rank(preference, *target);
+        preferred_slots += rank == 0 ? slots : 0;
         candidates.push_back({.unknown = !advice.eligible.contains(id),
+                              .rank = rank,
                               .slots = slots,
                               .spread = wide ? hash(id.value) ^ seed : 0,
                               .name = id.value});
     }
     if (candidates.empty())
         return;
+    const double needed =
+        ask_factor * static_cast<double>(jobs_.find(step.ref)->waiting);
+    if (preferred_slots < needed)
+        for (advice_candidate& candidate : candidates)
+            candidate.rank = 0;
     const auto asked_end = candidates.begin() +
                            static_cast<std::ptrdiff_t>(
                                std::min(candidates.size(), MAX_ASKED_TARGETS));
     std::partial_sort(candidates.begin(), asked_end, candidates.end());
-    const double needed =
-        ask_factor * static_cast<double>(jobs_.find(step.ref)->waiting);
     const size_t min_targets =
         wide ? MIN_ASKED_TARGETS_WIDE : MIN_ASKED_TARGETS;
     double counted = 0;
--- a/src/dispatch/owner_poll.cpp
+++ b/src/dispatch/owner_poll.cpp
@@ -292,6 +292,7 @@
             run.incarnation = target.incarnation;
             run.phase_since = clock.now;
             run.started = clock.now;
+            run.timed = false;
         }
         return;
     }
--- a/src/dispatch/owner_speed.cpp
+++ b/src/dispatch/owner_speed.cpp
@@ -41,6 +41,7 @@
 
 void owner::assess_speed(target_state& target, const owner_clock& clock) {
     const target_speed speed = target.health.assess(target.degraded);
+    record_unfinished(target, clock.now);
     move_stragglers(target, clock);
     if (speed == target_speed::unknown)
         return;
--- a/src/dispatch/owner_start.cpp
+++ b/src/dispatch/owner_start.cpp
@@ -102,6 +102,7 @@
         jobs_.begin(task.step.job);
         run.started = clock.now;
         run.started_clock_ms = answer.clock_ms;
+        run.timed = true;
         const bool known_process =
             clock_fits && run.incarnation == target->incarnation;
         run.phase = known_process ? run_phase::running : run_phase::unconfirmed;
--- a/src/dispatch/owner_stop.cpp
+++ b/src/dispatch/owner_stop.cpp
@@ -156,6 +156,7 @@
             }
         if (run.started != mono_time{})
             jobs_.record_run_time(end.task, clock.now - run.started);
+        record_speed(target, run, end.task, clock.now);
         jobs_.complete(end.task, clock.wall_ms, clock.now);
         break;
     case run_end::failed:
--- a/src/dispatch/target_table.hpp
+++ b/src/dispatch/target_table.hpp
@@ -3,6 +3,7 @@
 
 #include "dispatch/dispatch_type.hpp"
 #include "dispatch/order_type.hpp"
+#include "dispatch/speed_table.hpp"
 #include "dispatch/target_health.hpp"
 
 #include <algorithm>
@@ -43,6 +44,7 @@
     mono_time started{};     ///< When the target confirmed the start.
     mono_time stop_acked{};  ///< When the target confirmed the stop.
     std::int64_t started_clock_ms = 0; ///< Target's clock then; 0: unknown.
+    bool timed = false; ///< `started` is the time of its start.
     /** For this long after its start the target has reported the run. */
     millis survived{0};
     bool stop_sent = false;
@@ -134,6 +136,13 @@
     /** Last assessed as slow or stalled; reset by a run that ends in time. */
     bool degraded = false;
 
+    /** @name Placement by expected end; unused without it. */
+    ///@{
+    expected_speed speed;
+    bool avoided = false; ///< Much slower than the others at present.
+    mono_time next_unfinished_check{};
+    ///@}
+
     /** @name Set by `crash_suspects` in each placement round. */
     ///@{
     int unproven_runs = 0;
