--- a/src/dispatch/job_table.cpp
+++ b/src/dispatch/job_table.cpp
@@ -162,6 +162,21 @@
     mark_changed(id.step.job);
 }
 
+void job_table::place_copy(const task_id& id, std::int32_t run,
+                           const target_entry& on) {
+    task_entry* task = find(id);
+    assert(task != nullptr && task->phase == task_phase::placed);
+    assert(run > task->run);
+    add_leftover_run({.task = id,
+                      .run = task->run,
+                      .target = task->target,
+                      .incarnation = task->incarnation});
+    task->run = run;
+    task->target = on.id;
+    task->incarnation = on.incarnation;
+    mark_changed(id.step.job);
+}
+
 void job_table::begin(const job_id& id) {
     job_entry* job = find(id);
     if (job != nullptr && job->state == job_state::pending)
--- a/src/dispatch/job_table.hpp
+++ b/src/dispatch/job_table.hpp
@@ -164,6 +164,14 @@
      */
     void place(const task_id& task, std::int32_t run, const target_entry& on);
 
+    /**
+     * Assigns a placed task to a second target as well. Its earlier run is kept
+     * on record as a leftover run; a later owner stops that one.
+     * @pre As for `place`.
+     */
+    void place_copy(const task_id& task, std::int32_t run,
+                    const target_entry& on);
+
     /**
      * A target has confirmed that a run of the job has started. This alone is
      * not stored: a later owner learns it from the target as well.
--- a/src/dispatch/owner_base.cpp
+++ b/src/dispatch/owner_base.cpp
@@ -251,8 +251,9 @@
     ends_in_store_call_.clear();
     for (auto& [id, target] : targets_.all())
         if (target.last_applied_end > target.last_stored_end)
-            ends_in_store_call_[id] = {target.incarnation,
-                                       target.last_applied_end};
+            if (const std::int64_t last = acknowledgeable_end(target);
+                last > target.last_stored_end)
+                ends_in_store_call_[id] = {target.incarnation, last};
     runs_in_store_call_ = std::exchange(unstored_runs_, {});
     if (records.empty()) {
         // Ends of unknown runs change no job, so there is nothing to store.
--- a/src/dispatch/owner_base.hpp
+++ b/src/dispatch/owner_base.hpp
@@ -313,6 +313,28 @@
                      const std::vector<target_state*>& candidates,
                      const owner_clock& clock) const;
 
+    // owner_copies.cpp
+    /** Tells whether a task of a step may run on two targets at once. */
+    [[nodiscard]] bool may_copy(const step_spec& spec) const;
+    /** Starts copies where free room is left that no step waits for. */
+    void place_copies(const std::vector<runnable_step>& steps,
+                      const owner_clock& clock);
+    void place_copy(const task_id& task,
+                    const std::vector<runnable_step>& steps,
+                    const owner_clock& clock);
+    /** Tells whether steps that are as urgent need the free processors. */
+    [[nodiscard]] bool room_is_wanted(const std::vector<runnable_step>& steps,
+                                      int priority, const resources& demand);
+    void stop_other_runs(const task_id& task, const owner_clock& clock);
+    /** A start of the task was sent and may still be carried out. */
+    [[nodiscard]] bool other_start_unconfirmed(const task_id& task) const;
+    /**
+     * Sequence number of the last end that may be acknowledged once stored. A
+     * successful end is held back while a start of its task may arrive: no
+     * start may follow the acknowledgement.
+     */
+    [[nodiscard]] std::int64_t acknowledgeable_end(target_state& target) const;
+
     // owner_poll.cpp
     void send_due_polls(const owner_clock& clock);
     /**
@@ -384,7 +406,7 @@
      * Each task is moved at most once.
      */
     void move_runs(target_state& target, const owner_clock& clock,
-                   const std::function<bool(const step_entry&,
+                   const std::function<bool(const task_id&, const step_entry&,
                                             const run_entry&)>& selected);
     /**
      * Moves runs that take much longer than the completed ones of their step.
@@ -445,6 +467,8 @@
     advice_table advice_;
     crash_suspects suspects_;
     speed_table speeds_;
+    /** Stragglers for which the next placement round seeks room. */
+    std::set<task_id> copies_wanted_;
     mono_time next_ranking_{};
     mono_time next_speed_log_{};
     /** Runs placed since the last line in the log, by class of their target. */
--- a/src/dispatch/owner_expected_end.cpp
+++ b/src/dispatch/owner_expected_end.cpp
@@ -180,6 +180,8 @@
                               other.target->entry.id);
         }
     };
+    if (candidates.empty())
+        return {};
     const step_spec& spec = *step.spec;
     const speed_preference preference = preferred_speed(step, clock);
     const std::int32_t waiting = jobs_.find(step.ref)->waiting;
--- a/src/dispatch/owner_place.cpp
+++ b/src/dispatch/owner_place.cpp
@@ -164,10 +164,12 @@
     suspects_.begin_round(clock.now);
     collect_schedulable(clock.now);
     advice_.begin_round();
-    for (const runnable_step& step : runnable_steps(clock))
+    const std::vector<runnable_step> steps = runnable_steps(clock);
+    for (const runnable_step& step : steps)
         if (allocation_for(step.spec->demand, step.spec->best_effort)
                 .fits_in(largest_free_))
             place_step(step, clock);
+    place_copies(steps, clock);
     if (suspects_.has_waiting()) {
         schedule_due_ = true;
         next_schedule_ = std::max(next_schedule_, clock.now + SUSPECT_PERIOD);
@@ -388,8 +390,12 @@
     if (step.queue->advice)
         ticket = *advice_.for_step(step.ref).valid_ticket(target.entry.id,
                                                           clock.now);
-    jobs_.place(task, run,
-                {.id = target.entry.id, .incarnation = target.incarnation});
+    const target_entry on{.id = target.entry.id,
+                          .incarnation = target.incarnation};
+    if (jobs_.find(task)->phase == task_phase::placed)
+        jobs_.place_copy(task, run, on);
+    else
+        jobs_.place(task, run, on);
     targets_.add_run(
         target, task,
         {.run = run,
--- a/src/dispatch/owner_poll.cpp
+++ b/src/dispatch/owner_poll.cpp
@@ -199,6 +199,9 @@
                                        .start_uncertain = true}));
     update_backoff(target, end, clock);
     const step_spec* spec = jobs_.spec(end.task.step);
+    if (end.end == run_end::done && spec != nullptr && may_copy(*spec) &&
+        other_start_unconfirmed(end.task))
+        target.held_ends[end.sequence] = end.task;
     // A task may be too short for progress samples; its end in time shows as
     // well that the target is not degraded.
     if (end.end == run_end::done && run.started != mono_time{} &&
--- a/src/dispatch/owner_restart.cpp
+++ b/src/dispatch/owner_restart.cpp
@@ -45,6 +45,7 @@
     target.restart_suspected = {};
     target.last_applied_end = 0;
     target.last_stored_end = 0;
+    target.held_ends.clear();
     target.clock_ms = 0;
     target.lease_end_ms = 0;
     target.last_poll_clock_ms = 0;
--- a/src/dispatch/owner_speed.cpp
+++ b/src/dispatch/owner_speed.cpp
@@ -55,14 +55,16 @@
     target.backoff_until = clock.now + DEGRADED_BACKOFF;
     if (speed != target_speed::stalled)
         return; // A slow target may still end its runs soon.
-    move_runs(target, clock, [](const step_entry&, const run_entry& run) {
-        return run.percent < NEARLY_DONE_PERCENT;
-    });
+    move_runs(target, clock,
+              [](const task_id&, const step_entry&, const run_entry& run) {
+                  return run.percent < NEARLY_DONE_PERCENT;
+              });
 }
 
 void owner::move_runs(
     target_state& target, const owner_clock& clock,
-    const std::function<bool(const step_entry&, const run_entry&)>& selected) {
+    const std::function<bool(const task_id&, const step_entry&,
+                             const run_entry&)>& selected) {
     std::vector<task_id> moving;
     for (const auto& [task, run] : target.runs) {
         const step_spec* spec = jobs_.spec(task.step);
@@ -73,7 +75,7 @@
             suspects_.suspicion_of(task) != suspicion::none ||
             run.speed_percent < FULL_SPEED_PERCENT)
             continue;
-        if (selected(*jobs_.find(task.step), run))
+        if (selected(task, *jobs_.find(task.step), run))
             moving.push_back(task);
     }
     for (const task_id& task : moving) {
@@ -89,11 +91,19 @@
 }
 
 void owner::move_stragglers(target_state& target, const owner_clock& clock) {
-    move_runs(target, clock, [&](const step_entry& step, const run_entry& run) {
-        return is_straggler({.elapsed = clock.now - run.started,
-                             .percent = run.percent,
-                             .peer_time = step.longest_run_time});
-    });
+    move_runs(
+        target, clock,
+        [&](const task_id& task, const step_entry& step, const run_entry& run) {
+            if (!is_straggler({.elapsed = clock.now - run.started,
+                               .percent = run.percent,
+                               .peer_time = step.longest_run_time}))
+                return false;
+            if (!may_copy(*jobs_.spec(task.step)))
+                return true;
+            copies_wanted_.insert(task);
+            schedule_due_ = true;
+            return false;
+        });
 }
 
 bool owner::too_many_degraded() const {
--- a/src/dispatch/owner_stop.cpp
+++ b/src/dispatch/owner_stop.cpp
@@ -158,6 +158,8 @@
             jobs_.record_run_time(end.task, clock.now - run.started);
         record_speed(target, run, end.task, clock.now);
         jobs_.complete(end.task, clock.wall_ms, clock.now);
+        if (may_copy(spec))
+            stop_other_runs(end.task, clock);
         break;
     case run_end::failed:
         output_.log("run_failed", end.task.step.job,
--- a/src/dispatch/target_table.hpp
+++ b/src/dispatch/target_table.hpp
@@ -44,7 +44,7 @@
     mono_time started{};     ///< When the target confirmed the start.
     mono_time stop_acked{};  ///< When the target confirmed the stop.
     std::int64_t started_clock_ms = 0; ///< Target's clock then; 0: unknown.
-    bool timed = false; ///< `started` is the time of its start.
+    bool timed = false;                ///< `started` is the time of its start.
     /** For this long after its start the target has reported the run. */
     millis survived{0};
     bool stop_sent = false;
@@ -114,6 +114,8 @@
     std::int64_t last_applied_end = 0;
     /** Sequence number of the last end whose effects are stored. */
     std::int64_t last_stored_end = 0;
+    /** Successful ends that are not acknowledged yet, and their tasks. */
+    std::map<std::int64_t, task_id> held_ends;
 
     /** The target's clock at the last poll processed. */
     std::int64_t last_poll_clock_ms = 0;
@@ -249,6 +251,12 @@
         return run_counts_.contains(task);
     }
 
+    /** Number of targets with a run of a task. */
+    [[nodiscard]] int run_count(const task_id& task) const {
+        const auto found = run_counts_.find(task);
+        return found == run_counts_.end() ? 0 : found->second;
+    }
+
     [[nodiscard]] target_state* find(const target_id& id);
 
     [[nodiscard]] std::map<target_id, target_state>& all() { return targets_; }
--- a/tests/dispatch_world.hpp
+++ b/tests/dispatch_world.hpp
@@ -47,6 +47,11 @@
     std::vector<std::int64_t> sizes;
     /** Runs take up to this many percent longer, by task and target. */
     int run_noise_percent = 0;
+    /**
+     * Runs end with the lease of their target also while nothing else happens
+     * there; otherwise they end at the next event.
+     */
+    bool exact_lease_ends = false;
 };
 
 /** Distribution of the jobs of a queue. */
@@ -188,6 +193,9 @@
     /** Outcome of the jobs of one organisation. */
     [[nodiscard]] job_outcome
     organisation_result(const std::string& organisation) const;
+    /** Second copies of tasks that the owner has placed. */
+    [[nodiscard]] int copies() const { return copies_; }
+    /** A step that allows speculation may have two runs of a task. */
     [[nodiscard]] int overlapping_runs() const { return overlapping_runs_; }
     /** The same without runs that their target no longer holds a lease for. */
     [[nodiscard]] int overlapping_held_runs() const {
@@ -304,6 +312,8 @@
              const std::string&) override {
         if (event == "job_given_up")
             given_up_.insert(job);
+        if (event == "straggler_copied")
+            ++copies_;
     }
 
 private:
@@ -456,6 +466,7 @@
     /** Tasks with an acknowledged successful end. */
     std::set<task_id> succeeded_;
     std::set<task_id> held_successes_;
+    int copies_ = 0;
     int starts_ = 0;
     std::uint64_t starts_hash_ = 0;
     std::map<std::pair<std::string, std::string>, int> starts_by_kind_;
