--- a/tests/placement_speed_test.cpp
+++ b/tests/placement_speed_test.cpp
@@ -263,3 +263,50 @@
     for (int target = 0; target < options.targets; ++target)
         EXPECT_LE(cell.starts_on(target), 5) << target;
 }
+
+// Guards against a gang with one member on a slow target: all members end with
+// the slowest one.
+TEST(placement_speed, gangs_take_fast_targets_of_one_rack) {
+    simulation_options options = two_kinds(EXPECTED_END, 1);
+    options.sizes = {16'000};
+    simulated_cell cell(options);
+    cell.add_queue(QUICK);
+    cell.add_queue({.queue = "gangs", .without_advice = true});
+    cell.add_organisation("o", 1000);
+    submit_jobs(cell, "quick", 1, millis(2000), millis(30'000), 100, quick_job);
+    for (std::int64_t ms = 10'000; ms < 30'000; ms += 1000)
+        cell.at(millis(ms), [&cell] {
+            cell.submit("gangs", "o",
+                        {.payload = "p",
+                         .steps = {{.count = 4,
+                                    .demand = {4000, 100, 0},
+                                    .estimate = millis(800),
+                                    .gang = true,
+                                    .same_rack = true}}});
+        });
+    cell.run_until(millis(60'000));
+    const job_outcome gangs = cell.queue_result("gangs");
+    EXPECT_EQ(gangs.ended, gangs.jobs);
+    EXPECT_EQ(cell.starts_on_kind("gangs", "b"), 0);
+    EXPECT_EQ(cell.starts_on_kind("gangs", "a"), 4 * gangs.jobs);
+}
+
+// Guards against long tasks that stay on the slow kind although they may miss
+// their objective there: a stretch of 2.2 leaves no room for a factor of 1.6
+// and errors of the estimate.
+TEST(placement_speed, tight_long_tasks_are_not_kept_on_the_slow_kind) {
+    simulation_options options = two_kinds(EXPECTED_END, 1);
+    options.kinds = {{"a", 1}, {"b", 1.6}};
+    simulated_cell cell(options);
+    request_kind tight = SLOW;
+    tight.objective = millis(0);
+    cell.add_queue(QUICK);
+    cell.add_queue(tight);
+    cell.add_organisation("o", 1000);
+    submit_jobs(cell, "quick", 1, millis(2000), millis(30'000), 100, quick_job);
+    submit_jobs(cell, "slow", 2, millis(8000), millis(30'000), 500, slow_job);
+    cell.run_until(millis(60'000));
+    const outcome slow = result(cell, "slow");
+    EXPECT_GT(slow.on_fast, 0.3);
+    EXPECT_GT(slow.in_time, 0.95);
+}
