--- a/src/dispatch/owner_base.hpp
+++ b/src/dispatch/owner_base.hpp
@@ -8,6 +8,7 @@
 #include "dispatch/lease_type.hpp"
 #include "dispatch/route_type.hpp"
 #include "dispatch/scheduling_policy.hpp"
+#include "dispatch/speed_table.hpp"
 #include "dispatch/target_table.hpp"
 
 #include <functional>
@@ -225,6 +226,8 @@
         int lateness = 0; ///< 0: in time, 1: late, 2: too late to be of value.
         /** Unix time at which the objective is missed. */
         std::int64_t due_ms = 0;
+        /** From the start of the step to the end of the job, by estimates. */
+        millis remaining{0};
         const step_spec* spec = nullptr;
         const queue_config* queue = nullptr;
     };
@@ -280,6 +283,63 @@
     void send_start(target_state& target, const task_id& task, run_entry& run,
                     const owner_clock& clock);
 
+    // owner_expected_end.cpp
+    /** Which targets a step takes first. */
+    enum class speed_preference : std::uint8_t {
+        fast,
+        slow, ///< Meets its objective on the slow kind as well.
+        none, ///< Best fit; only single slow targets come last.
+    };
+    /** Computes the expected speed of the schedulable targets. */
+    void update_speeds(mono_time now);
+    void record_speed(const target_state& target, const run_entry& run,
+                      const task_id& task, mono_time now);
+    /** Runs that take too long show a slow target before they end. */
+    void record_unfinished(target_state& target, mono_time now);
+    [[nodiscard]] speed_preference
+    preferred_speed(const runnable_step& step, const owner_clock& clock) const;
+    /** 0: a target that advice is asked about first; otherwise 1. */
+    [[nodiscard]] int advice_rank(speed_preference preference,
+                                  const target_state& target) const;
+    /** Class of the slowest kind that a run of the step is on; -1: no run. */
+    [[nodiscard]] int slowest_placed(const runnable_step& step);
+    /**
+     * Sorts the candidates by the expected end of a task there.
+     * @return A target for each waiting task of a step that is not a gang, as
+     * far as there is room.
+     */
+    std::vector<target_state*>
+    order_by_expected_end(const runnable_step& step,
+                          std::vector<target_state*>& candidates,
+                          const owner_clock& clock);
+    /** Targets of the members of a gang; empty if they don't fit. */
+    [[nodiscard]] std::vector<target_state*>
+    fastest_for_gang(const runnable_step& step,
+                     const std::vector<target_state*>& candidates,
+                     const owner_clock& clock) const;
+
+    // owner_copies.cpp
+    /** Tells whether a task of a step may run on two targets at once. */
+    [[nodiscard]] bool may_copy(const step_spec& spec) const;
+    /** Starts copies where free room is left that no step waits for. */
+    void place_copies(const std::vector<runnable_step>& steps,
+                      const owner_clock& clock);
+    void place_copy(const task_id& task,
+                    const std::vector<runnable_step>& steps,
+                    const owner_clock& clock);
+    /** Tells whether steps that are as urgent need the free processors. */
+    [[nodiscard]] bool room_is_wanted(const std::vector<runnable_step>& steps,
+                                      int priority, const resources& demand);
+    void stop_other_runs(const task_id& task, const owner_clock& clock);
+    /** A start of the task was sent and may still be carried out. */
+    [[nodiscard]] bool other_start_unconfirmed(const task_id& task) const;
+    /**
+     * Sequence number of the last end that may be acknowledged once stored. A
+     * successful end is held back while a start of its task may arrive: no
+     * start may follow the acknowledgement.
+     */
+    [[nodiscard]] std::int64_t acknowledgeable_end(target_state& target) const;
+
     // owner_poll.cpp
     void send_due_polls(const owner_clock& clock);
     /**
@@ -351,7 +411,7 @@
      * Each task is moved at most once.
      */
     void move_runs(target_state& target, const owner_clock& clock,
-                   const std::function<bool(const step_entry&,
+                   const std::function<bool(const task_id&, const step_entry&,
                                             const run_entry&)>& selected);
     /**
      * Moves runs that take much longer than the completed ones of their step.
@@ -411,6 +471,13 @@
     target_table targets_;
     advice_table advice_;
     crash_suspects suspects_;
+    speed_table speeds_;
+    /** Stragglers for which the next placement round seeks room. */
+    std::set<task_id> copies_wanted_;
+    mono_time next_ranking_{};
+    mono_time next_speed_log_{};
+    /** Runs placed since the last line in the log, by class of their target. */
+    std::map<int, int> placed_by_class_;
     /** Jobs that have not ended, or whose end is not stored yet. */
     std::set<job_id> live_jobs_;
     /** Live jobs that start repeats at times of their own. */
