Dispatch: order work by the cost of its delay

Cause: with earliest due time first all jobs of an overload miss their objectives together, estimates are off by a median factor of 1.5, and a burst within the allowance of rate_window counted as beyond the rate.

Change: with scheduling.order=delay_cost the owner sorts runnable steps by class, priority and cost of delay for each unit of remaining work (work_order). Run times correct the estimates of a step, its job or its queue (estimate_correction). The rate is judged over rate_window with rate_overage and rate_slack_jobs by the times of acceptance (rate_window); a new owner judges the jobs that it reads in that order. Later classes leave room to steps that wait for advice for up to 1 s. A gang that has waited for 0.5 s holds targets for at most 2 s of each 4 s; steps that would lose value do not wait for it. A log line every 10 s counts the tasks placed by class.

--- a/src/dispatch/job_table.cpp
+++ b/src/dispatch/job_table.cpp
@@ -48,6 +48,16 @@
 
 repeat_estimate estimate_repeat(const job_spec& spec,
                                 const repeat_entry& repeat) {
+    std::vector<millis> estimates;
+    estimates.reserve(spec.steps.size());
+    for (const step_spec& step : spec.steps)
+        estimates.push_back(step.estimate);
+    return estimate_repeat(spec, repeat, estimates);
+}
+
+repeat_estimate estimate_repeat(const job_spec& spec,
+                                const repeat_entry& repeat,
+                                const std::vector<millis>& estimates) {
     const size_t count = spec.steps.size();
     std::vector<millis> finish(count, millis(0));
     repeat_estimate out;
@@ -59,7 +69,7 @@
             step.done == static_cast<std::int32_t>(step.tasks.size());
         duration[i] = done && step.longest_run_time.count() > 0
                           ? step.longest_run_time
-                          : spec.steps[i].estimate;
+                          : estimates[i];
         millis start{0};
         for (const int earlier : spec.steps[i].after)
             start = std::max(start, finish[static_cast<size_t>(earlier)]);
--- a/src/dispatch/job_table.hpp
+++ b/src/dispatch/job_table.hpp
@@ -134,6 +134,10 @@
 };
 repeat_estimate estimate_repeat(const job_spec& spec,
                                 const repeat_entry& repeat);
+/** @param estimates Of each step, in place of those of the job. */
+repeat_estimate estimate_repeat(const job_spec& spec,
+                                const repeat_entry& repeat,
+                                const std::vector<millis>& estimates);
 
 /**
  * The jobs of a cell. State changes go through its functions. Jobs whose
--- a/src/dispatch/owner_base.cpp
+++ b/src/dispatch/owner_base.cpp
@@ -120,6 +120,8 @@
 }
 
 bool owner::consume_rate_credit(const job_record& record) {
+    if (settings_.scheduling.order_by_delay_cost)
+        return within_rate(record);
     const organisation_config* organisation =
         find_organisation(config_, record.organisation);
     if (organisation == nullptr || organisation->weight <= 0)
@@ -153,6 +155,7 @@
     job_entry& job = *jobs_.find(id);
     add_live_job(job);
     job.over_rate = !consume_rate_credit(job.record);
+    record_job_work(job.record);
     jobs_.start_due_repeats(job, clock.wall_ms, clock.now);
     schedule_due_ = true;
     output_.log("job_taken", id,
@@ -287,6 +290,7 @@
             continue;
         repeating_jobs_.erase(id);
         advice_.remove(id);
+        corrections_.remove(id);
         output_.log(
             "job_ended", id,
             "state=" + std::to_string(static_cast<int>(job->state)) +
--- a/src/dispatch/owner_base.hpp
+++ b/src/dispatch/owner_base.hpp
@@ -3,14 +3,19 @@
 
 #include "dispatch/advice_table.hpp"
 #include "dispatch/crash_suspects.hpp"
+#include "dispatch/estimate_correction.hpp"
 #include "dispatch/fencing_tokens.hpp"
 #include "dispatch/job_table.hpp"
 #include "dispatch/lease_type.hpp"
+#include "dispatch/rate_window.hpp"
 #include "dispatch/route_type.hpp"
 #include "dispatch/scheduling_policy.hpp"
 #include "dispatch/target_table.hpp"
+#include "dispatch/work_order.hpp"
 
+#include <array>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <set>
@@ -91,6 +96,8 @@
     millis checkpoint_interval{0}; ///< Work between two checkpoints.
     millis restore_time{0};        ///< To resume from a checkpoint.
     scheduling_policy scheduling;
+    /** The order with `order_by_delay_cost`; tests compare it with others. */
+    work_key (*work_order)(const work_input&) = delay_cost_key;
 };
 
 /** Current time, passed to the owner with each event. */
@@ -205,6 +212,9 @@
     [[nodiscard]] const job_table& jobs() const { return jobs_; }
     [[nodiscard]] const target_table& targets() const { return targets_; }
     [[nodiscard]] std::string dump() const;
+    /** The estimate of a step, corrected by measured run times. */
+    [[nodiscard]] millis corrected_estimate(const queue_id& queue,
+                                            const step_ref& step) const;
     ///@}
 
 private:
@@ -222,6 +232,11 @@
         std::int64_t due_ms = 0;
         const step_spec* spec = nullptr;
         const queue_config* queue = nullptr;
+        work_class order_class = work_class::in_time;
+        /** Time for which it may wait without further loss to its caller. */
+        millis slack{0};
+        /** Tasks for which it may take room in this placement round. */
+        std::int64_t max_tasks = std::numeric_limits<std::int64_t>::max();
     };
 
     // owner_base.cpp
@@ -235,6 +250,41 @@
     void confirm_job_ends(const owner_clock& clock);
     [[nodiscard]] bool consume_rate_credit(const job_record& record);
 
+    // owner_order.cpp
+    void record_run_time(const task_id& task, millis run_time);
+    void record_job_work(const job_record& record);
+    /** Counts a job towards its organisation's rate over `rate_window`. */
+    [[nodiscard]] bool within_rate(const job_record& record);
+    /** Judges the jobs of an earlier owner in the order of acceptance. */
+    void judge_inherited_rates();
+    [[nodiscard]] std::vector<runnable_step>
+    steps_by_delay_cost(const owner_clock& clock) const;
+    void add_runnable_steps(const job_entry& job, const owner_clock& clock,
+                            std::vector<runnable_step>& steps,
+                            std::vector<work_key>& keys) const;
+
+    // owner_room.cpp
+    /** Places the steps in order and holds room for those that go first. */
+    void place_by_delay_cost(const owner_clock& clock);
+    /** Counts the capacity of the schedulable targets. */
+    void measure_room();
+    /** Tasks of a step for which room is left beside the room held. */
+    [[nodiscard]] std::int64_t room_beside_held(const runnable_step& step);
+    /** Tells whether a step will take room as soon as it has advice. */
+    [[nodiscard]] bool about_to_take_room(const runnable_step& step,
+                                          const owner_clock& clock);
+    void log_placed_classes(const owner_clock& clock);
+
+    // owner_gang.cpp
+    /** Ends the hold for a gang that has been placed or held room for long. */
+    void end_gang_hold(const owner_clock& clock);
+    /** Holds targets for a gang that has waited for long. */
+    void hold_for_gang(const runnable_step& step, const owner_clock& clock);
+    /** Tells whether a target is held for a gang that a step can wait for. */
+    [[nodiscard]] bool held_for_gang(const runnable_step& step,
+                                     const target_state& target,
+                                     const owner_clock& clock) const;
+
     // owner_refused.cpp
     /** The store refused the record of an ended job with its runs. */
     void store_end_without_runs(const job_id& id);
@@ -418,6 +468,31 @@
         std::int64_t updated_ms = 0; ///< Unix time of the last submission.
     };
     std::map<organisation_id, rate_bucket> rate_buckets_;
+    /** Submissions of each organisation, for the order by cost of delay. */
+    std::map<organisation_id, rate_window> rate_windows_;
+    estimate_correction corrections_;
+    /** Capacity of the targets of a service, in milli-cores. */
+    struct service_room {
+        std::int64_t capacity = 0;
+        std::int64_t free = 0;
+        /** Held for steps of a class and priority. */
+        std::map<std::pair<work_class, int>, std::int64_t> held;
+    };
+    std::map<service_id, service_room> room_; ///< In this placement round.
+    /** Tasks placed since the last log line, by class. */
+    std::array<std::int64_t, WORK_CLASSES> placed_by_class_{};
+    mono_time next_class_log_{};
+    /** Targets that are held for one gang. */
+    struct gang_hold {
+        step_ref gang;
+        std::set<target_id> targets;
+        mono_time since{};
+    };
+    std::optional<gang_hold> gang_hold_;
+    mono_time next_gang_hold_{}; ///< No hold begins before.
+    int gang_hold_attempts_ = 0; ///< In this placement round.
+    /** Work of a typical job of each queue, by uncorrected estimates. */
+    std::map<queue_id, running_median> typical_work_;
     bool placed_in_tick_ = false; ///< The last tick had a placement round.
     /** Requests to cancel a job that is not known. */
     struct early_cancel {
--- a/src/dispatch/owner_place.cpp
+++ b/src/dispatch/owner_place.cpp
@@ -160,10 +160,14 @@
     suspects_.begin_round(clock.now);
     collect_schedulable(clock.now);
     advice_.begin_round();
-    for (const runnable_step& step : runnable_steps(clock))
-        if (allocation_for(step.spec->demand, step.spec->best_effort)
-                .fits_in(largest_free_))
-            place_step(step, clock);
+    if (settings_.scheduling.order_by_delay_cost) {
+        place_by_delay_cost(clock);
+    } else {
+        for (const runnable_step& step : runnable_steps(clock))
+            if (allocation_for(step.spec->demand, step.spec->best_effort)
+                    .fits_in(largest_free_))
+                place_step(step, clock);
+    }
     if (suspects_.has_waiting()) {
         schedule_due_ = true;
         next_schedule_ = std::max(next_schedule_, clock.now + SUSPECT_PERIOD);
@@ -263,8 +267,11 @@
     } else {
         step_entry& entry = *jobs_.find(step.ref);
         size_t position = 0;
+        std::int64_t placed = 0;
         for (size_t i = 0;
-             i < entry.tasks.size() && position < candidates.size(); ++i) {
+             i < entry.tasks.size() && position < candidates.size() &&
+             placed < step.max_tasks;
+             ++i) {
             const task_entry& task = entry.tasks[i];
             if (task.phase != task_phase::waiting ||
                 targets_.has_run({step.ref, static_cast<std::int32_t>(i)}) ||
@@ -288,6 +295,7 @@
                     }
             place_task(step, static_cast<std::int32_t>(i), task.run + 1,
                        *choice, clock);
+            ++placed;
         }
         if (suspects)
             place_suspects(step, candidates, clock);
@@ -301,7 +309,8 @@
     std::vector<target_state*> out;
     const auto add_candidate = [&](target_state& target) {
         if (target.schedulable && free_slots(step, target) > 0 &&
-            matches_constraints(step, target))
+            matches_constraints(step, target) &&
+            !held_for_gang(step, target, clock))
             out.push_back(&target);
     };
     if (!step.queue->advice) {
--- a/src/dispatch/owner_stop.cpp
+++ b/src/dispatch/owner_stop.cpp
@@ -155,7 +155,7 @@
                     jobs_.add_leftover_run(later);
             }
         if (run.started != mono_time{})
-            jobs_.record_run_time(end.task, clock.now - run.started);
+            record_run_time(end.task, clock.now - run.started);
         jobs_.complete(end.task, clock.wall_ms, clock.now);
         break;
     case run_end::failed:
--- a/src/dispatch/owner_takeover.cpp
+++ b/src/dispatch/owner_takeover.cpp
@@ -12,6 +12,8 @@
     for (const auto& [id, job] : jobs_.all())
         inherit_leftover_runs(job, clock);
     apply_handover();
+    if (settings_.scheduling.order_by_delay_cost)
+        judge_inherited_rates();
     schedule_due_ = true;
 }
 
--- a/tests/dispatch_world.cpp
+++ b/tests/dispatch_world.cpp
@@ -3,6 +3,8 @@
 #include "dispatch/record_codec.hpp"
 #include "dispatch/route_func.hpp"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <cmath>
 
@@ -213,20 +215,29 @@
 
 job_spec simulated_cell::actual_spec(const job_spec& spec, const job_id& job) {
     job_spec out = spec;
-    if (options_.estimate_error <= 0)
+    if (options_.estimate_error <= 0 && options_.estimate_factor == 1)
         return out;
     std::minstd_rand draw(static_cast<std::uint32_t>(
         std::hash<std::string>()(job.value) + options_.seed));
     std::lognormal_distribution<double> error(0, options_.estimate_error);
     for (step_spec& step : out.steps)
         step.estimate = millis(static_cast<std::int64_t>(
-            static_cast<double>(step.estimate.count()) * error(draw)));
+            static_cast<double>(step.estimate.count()) *
+            options_.estimate_factor *
+            (options_.estimate_error > 0 ? error(draw) : 1)));
     return out;
 }
 
 void simulated_cell::start(const target_address& address,
                            const start_order& order) {
     ++starts_;
+    const std::string text = std::to_string(now_) + ' ' + address.id.value +
+                             ' ' + order.task.step.job.value + ' ' +
+                             std::to_string(order.task.step.repeat) + ' ' +
+                             std::to_string(order.task.step.step) + ' ' +
+                             std::to_string(order.task.index) + ' ' +
+                             std::to_string(order.run);
+    start_hash_ = XXH64(text.data(), text.size(), start_hash_);
     const int life = targets_[static_cast<size_t>(index_of(address.id))].lives;
     const auto unanswered = [this, address, order, epoch = epoch_] {
         if (epoch != epoch_)
@@ -628,7 +639,7 @@
 void simulated_cell::begin_ownership(std::optional<lease_handover> handover) {
     epoch_ += TOKENS_PER_CLAIM;
     pending_appends_.clear();
-    owner_settings settings;
+    owner_settings settings = options_.settings;
     settings.epoch = epoch_;
     owner_ = std::make_unique<owner>(settings, *this);
     if (!config_withheld_)
@@ -835,6 +846,22 @@
     return out;
 }
 
+std::vector<single_outcome> simulated_cell::outcomes() const {
+    std::vector<single_outcome> out;
+    for (const auto& [id, job] : jobs_) {
+        single_outcome& one = out.emplace_back();
+        one.queue = job.queue;
+        one.organisation = job.organisation;
+        for (const step_spec& step : actual_specs_.at(id).steps)
+            one.work += static_cast<double>(step.estimate.count()) *
+                        static_cast<double>(step.count) *
+                        static_cast<double>(step.demand.milli_cores);
+        one.objective_ms = job.objective;
+        one.took_ms = job.ended_at > 0 ? job.ended_at - job.at : 0;
+    }
+    return out;
+}
+
 job_outcome simulated_cell::queue_result(const std::string& queue) const {
     return count([&](const submitted& job) { return job.queue == queue; });
 }
--- a/tests/dispatch_world.hpp
+++ b/tests/dispatch_world.hpp
@@ -34,6 +34,10 @@
     double target_clock_rate = 1;
     /** Standard deviation of the logarithm of actual duration over estimate. */
     double estimate_error = 0;
+    /** Median of actual duration over estimate. */
+    double estimate_factor = 1;
+    /** Settings of each owner, except for the epoch. */
+    owner_settings settings;
 };
 
 /** Distribution of the jobs of a queue. */
@@ -72,6 +76,19 @@
     int given_up = 0;
 };
 
+/** Outcome of one job. */
+struct single_outcome {
+    std::string queue;
+    std::string organisation;
+    double work = 0; ///< Milli-core-milliseconds by the actual durations.
+    std::int64_t objective_ms = 0;
+    std::int64_t took_ms = 0; ///< From submission to end; 0: not ended.
+
+    [[nodiscard]] bool in_time() const {
+        return took_ms > 0 && took_ms <= objective_ms;
+    }
+};
+
 /**
  * Runs an owner against simulated targets and counts violations such as
  * overlapping runs.
@@ -175,6 +192,10 @@
     /** Outcome of the jobs of one organisation. */
     [[nodiscard]] job_outcome
     organisation_result(const std::string& organisation) const;
+    /** Outcome of each job in the order of submission. */
+    [[nodiscard]] std::vector<single_outcome> outcomes() const;
+    /** Hash of all start orders with their times. */
+    [[nodiscard]] std::uint64_t start_hash() const { return start_hash_; }
     [[nodiscard]] int overlapping_runs() const { return overlapping_runs_; }
     /** The same without runs that their target no longer holds a lease for. */
     [[nodiscard]] int overlapping_held_runs() const {
@@ -425,6 +446,7 @@
     std::set<task_id> succeeded_;
     std::set<task_id> held_successes_;
     int starts_ = 0;
+    std::uint64_t start_hash_ = 0;
     int polls_ = 0;
     int starts_with_old_ticket_ = 0;
     int starts_in_reached_process_ = 0;
