Dispatch: expected waits of new jobs, and which jobs they make hopeless

Cause: under overload jobs are accepted that are known to end without value. They take room from jobs that could end in time, and their callers wait in vain. Change: with scheduling.order=delay_cost the owner estimates every 200 ms how long a new job of each queue waits, and one of each organisation at its resource limit (wait_estimate). The rate of placement counts only while work has to wait, so that a burst after a quiet time is not measured against the demand of before. admission_func decides by it, and returns when to come back. Nothing calls it yet; without the switch nothing is measured.

--- a/src/dispatch/owner_base.cpp
+++ b/src/dispatch/owner_base.cpp
@@ -153,6 +153,7 @@
     job_entry& job = *jobs_.find(id);
     add_live_job(job);
     job.over_rate = !consume_rate_credit(job.record);
+    note_submitted(job, clock);
     jobs_.start_due_repeats(job, clock.wall_ms, clock.now);
     schedule_due_ = true;
     output_.log("job_taken", id,
@@ -267,6 +268,7 @@
 
 void owner::records_stored(const owner_clock& clock) {
     store_pending_ = false;
+    stored_at_ = clock.now;
     for (const auto& [id, end] : ends_in_store_call_) {
         target_state* target = targets_.find(id);
         if (target == nullptr || target->incarnation != end.incarnation)
@@ -311,6 +313,7 @@
         next_schedule_ = clock.now + MIN_SCHEDULE_PERIOD;
         schedule(clock);
     }
+    update_expected_waits(clock);
     send_stops(clock);
     store_changes();
     send_due_polls(clock);
--- a/src/dispatch/owner_base.hpp
+++ b/src/dispatch/owner_base.hpp
@@ -9,6 +9,7 @@
 #include "dispatch/route_type.hpp"
 #include "dispatch/scheduling_policy.hpp"
 #include "dispatch/target_table.hpp"
+#include "dispatch/wait_estimate.hpp"
 
 #include <functional>
 #include <memory>
@@ -204,6 +205,8 @@
     [[nodiscard]] std::int64_t waiting_in(const queue_id& queue) const;
     [[nodiscard]] const job_table& jobs() const { return jobs_; }
     [[nodiscard]] const target_table& targets() const { return targets_; }
+    /** Expected waits of new jobs; none unless work is ordered by cost. */
+    [[nodiscard]] const wait_estimate& waits() const { return wait_estimate_; }
     [[nodiscard]] std::string dump() const;
     ///@}
 
@@ -270,11 +273,17 @@
     /** Gives up the jobs with tasks that crash their targets. */
     void give_up_convicted(const owner_clock& clock);
     [[nodiscard]] resources remaining_quota(const runnable_step& step) const;
+    [[nodiscard]] resources remaining_quota(const organisation_id& name) const;
     void request_advice(const runnable_step& step, const owner_clock& clock);
     void send_starts(const owner_clock& clock);
     void send_start(target_state& target, const task_id& task, run_entry& run,
                     const owner_clock& clock);
 
+    // owner_waits.cpp
+    void note_submitted(const job_entry& job, const owner_clock& clock);
+    void note_placed(const job_entry& job, const step_spec& spec);
+    void update_expected_waits(const owner_clock& clock);
+
     // owner_poll.cpp
     void send_due_polls(const owner_clock& clock);
     /**
@@ -406,6 +415,7 @@
     target_table targets_;
     advice_table advice_;
     crash_suspects suspects_;
+    wait_estimate wait_estimate_;
     /** Jobs that have not ended, or whose end is not stored yet. */
     std::set<job_id> live_jobs_;
     /** Live jobs that start repeats at times of their own. */
@@ -430,6 +440,7 @@
      */
     std::map<job_id, early_cancel> early_cancels_;
     bool store_pending_ = false;
+    mono_time stored_at_{}; ///< When the store last confirmed records.
     bool superseded_ = false;
     bool schedule_due_ = false;
     /** Attempts counted so far have not been compared with `config_`. */
--- a/src/dispatch/owner_place.cpp
+++ b/src/dispatch/owner_place.cpp
@@ -213,9 +213,12 @@
 }
 
 resources owner::remaining_quota(const runnable_step& step) const {
+    return remaining_quota(jobs_.find(step.ref.job)->record.organisation);
+}
+
+resources owner::remaining_quota(const organisation_id& name) const {
     constexpr std::int64_t UNLIMITED = std::numeric_limits<std::int64_t>::max();
     constexpr std::int64_t NOTHING = -1; // Not even a task without demand fits.
-    const organisation_id& name = jobs_.find(step.ref.job)->record.organisation;
     const organisation_config* organisation = find_organisation(config_, name);
     if (name.empty())
         return {UNLIMITED, UNLIMITED, UNLIMITED};
@@ -386,6 +389,7 @@
          .phase_since = clock.now,
          .tail_latency_target = step.spec->tail_latency_target});
     suspects_.placed(target, task);
+    note_placed(*jobs_.find(step.ref.job), *step.spec);
     unstored_runs_.emplace_back(target.entry.id, task);
 }
 
--- a/tests/dispatch_world.cpp
+++ b/tests/dispatch_world.cpp
@@ -630,6 +630,7 @@
     pending_appends_.clear();
     owner_settings settings;
     settings.epoch = epoch_;
+    settings.scheduling = options_.scheduling;
     owner_ = std::make_unique<owner>(settings, *this);
     if (!config_withheld_)
         owner_->set_config(config_);
--- a/tests/dispatch_world.hpp
+++ b/tests/dispatch_world.hpp
@@ -34,6 +34,7 @@
     double target_clock_rate = 1;
     /** Standard deviation of the logarithm of actual duration over estimate. */
     double estimate_error = 0;
+    scheduling_policy scheduling;
 };
 
 /** Distribution of the jobs of a queue. */
