Front: refuse jobs that would end without value

Cause: the expected waits of the owner did not reach the hosts that accept jobs. Change: replies to heartbeats carry them (optional, at most 16 KiB). An entry host refuses with 503 and Retry-After what would miss three times its objective even at half the expected wait; state older than 2 s refuses nothing. So that a refused job never runs, each host announces a job to the owner before it stores it, and refuses only after the owner has said that no submission of the job is stored or may be (submission_table); in doubt the job is accepted. The owner says so from 15 s after it took over, while all hosts are in touch. Logs queue_starts_refusing and queue_stops_refusing, metrics rattan_refused_hopeless_total and rattan_expected_wait_seconds.

--- a/proto/rattan.thrift
+++ b/proto/rattan.thrift
@@ -114,18 +114,21 @@
     2: required string owner,       // owner of that epoch
     3: required string owner_address,
     4: required i32 store_age_ms,   // time since the store last answered
-    5: required i32 owner_age_ms    // time since the owner was last heard from
+    5: required i32 owner_age_ms,   // time since the owner was last heard from
+    6: optional string waits        // expected waits of new jobs, by the owner
 }
 
 struct job_state_request {
     1: required string job,
     2: required string organisation,
-    3: i32 wait_ms = 0  // longest wait for an end that is not stored yet
+    3: i32 wait_ms = 0, // longest wait for an end that is not stored yet
+    4: i32 intent = 0   // dispatch::submission_intent
 }
 
 struct job_state_reply {
     1: required i32 state,           // dispatch::job_state
-    2: bool end_unstored = false     // the job has ended; shown once stored
+    2: bool end_unstored = false,    // the job has ended; shown once stored
+    3: bool never_stored = false     // no submission of the job may be stored
 }
 
 struct waiting_request {
--- a/src/base/metrics_base.cpp
+++ b/src/base/metrics_base.cpp
@@ -95,6 +95,20 @@
     out += line;
 }
 
+std::string labelled_name(const std::string& name, const std::string& label,
+                          const std::string& value) {
+    std::string out = name + "{" + label + "=\"";
+    for (const char c : value) {
+        if (c == '"' || c == '\\')
+            out += '\\';
+        if (c == '\n')
+            out += "\\n";
+        else
+            out += c;
+    }
+    return out + "\"}";
+}
+
 std::string metrics_registry::text() const {
     std::string out;
     for (const auto& [name, value] : counters_)
--- a/src/base/metrics_base.hpp
+++ b/src/base/metrics_base.hpp
@@ -29,6 +29,10 @@
     std::unique_ptr<impl> impl_;
 };
 
+/** Name of a metric with one label, in the Prometheus text format. */
+std::string labelled_name(const std::string& name, const std::string& label,
+                          const std::string& value);
+
 /** The metrics of a process by name; each is created on first use. */
 class metrics_registry {
 public:
--- a/src/front/front_service.cpp
+++ b/src/front/front_service.cpp
@@ -100,6 +100,10 @@
                         if (owner_)
                             owner_->ownership_confirmed(at);
                     },
+                .waits_received =
+                    [this](const std::string& waits, mono_time sent_at) {
+                        receive_waits(waits, sent_at);
+                    },
                 .members_changed =
                     [this] {
                         if (owner_)
@@ -227,7 +231,9 @@
         [this](const std::string& body, const rpc_server::responder& answer) {
             members_.handle_heartbeat(
                 {wire_decode<wire::beat_request>(body).host});
-            answer(wire::status::OK, members_.encode_heartbeat_reply());
+            answer(wire::status::OK,
+                   members_.encode_heartbeat_reply(
+                       owner_ ? owner_->encoded_waits() : ""));
         });
     rpc_server_->on(wire::method::ADVISE, [this](const std::string& body,
                                                  rpc_server::responder answer) {
@@ -343,7 +349,10 @@
                   {{"job", pending->job.value}, {"cause", failure.what()}});
         return pending->answer(status_reply(400));
     }
-    write(pending, job_key(pending->job), encoded);
+    if (!settings_.scheduling.order_by_delay_cost)
+        return write(pending, job_key(pending->job), encoded);
+    pending->record_value = std::move(encoded);
+    submit_unless_hopeless(pending, record);
 }
 
 void front_service::cancel(const std::shared_ptr<pending_request>& pending) {
@@ -370,6 +379,7 @@
         .record(std::max<std::int64_t>(0, now_us - checks_due_us_));
     checks_due_us_ = now_us + CHECK_PERIOD.count() * MICROS_PER_MILLI;
     shed_idle_connections();
+    report_waits();
     const bool needed =
         owner_silent() && is_state_reader(members_.members(), settings_.host);
     if (needed && !state_reader_)
--- a/src/front/front_service.hpp
+++ b/src/front/front_service.hpp
@@ -2,8 +2,10 @@
 #pragma once
 
 #include "base/metrics_base.hpp"
+#include "dispatch/refusing_queues.hpp"
 #include "dispatch/route_type.hpp"
 #include "dispatch/state_waiters.hpp"
+#include "dispatch/wait_codec.hpp"
 #include "front/member_service.hpp"
 #include "front/owner_service.hpp"
 #include "front/record_writer.hpp"
@@ -59,6 +61,30 @@
     void handle_request(const http_request& request,
                         const http_server::responder& answer);
     void submit(const std::shared_ptr<pending_request>& pending);
+    // front_refusal.cpp
+    /**
+     * Refuses a job that would end without value. If the job may have been
+     * accepted before, it is accepted.
+     */
+    void submit_unless_hopeless(const std::shared_ptr<pending_request>& pending,
+                                const dispatch::job_record& record);
+    /** Announces a job to the owner and writes its record. */
+    void store_submission(const std::shared_ptr<pending_request>& pending);
+    void refuse_submission(const std::shared_ptr<pending_request>& pending,
+                           int retry_after_s);
+    /** Calls `done`, at once unless the owner is another host. */
+    void ask_never_stored(const job_id& job,
+                          const std::function<void(bool never_stored)>& done);
+    /** Answers an announcement, or a question whether a job may be stored. */
+    void answer_submission(const job_id& job,
+                           dispatch::submission_intent intent,
+                           const rpc_server::responder& answer);
+    /** Keeps the expected waits that the owner has sent. */
+    void receive_waits(const std::string& encoded, mono_time sent_at);
+    /** The newest expected waits, with their age. */
+    [[nodiscard]] dispatch::aged_waits newest_waits() const;
+    /** Logs which queues have stopped refusing; updates the metrics. */
+    void report_waits();
     // front_state.cpp
     /** Replies with a job's state, from the owner if it can be asked. */
     void reply_current_state(const std::shared_ptr<pending_request>& pending);
@@ -160,6 +186,9 @@
     std::set<data_centre_id> evacuated_;
     std::unique_ptr<owner_service> owner_;
     dispatch::state_waiters state_waiters_;
+    dispatch::expected_waits received_waits_;
+    mono_time received_waits_at_{}; ///< When the owner estimated them.
+    dispatch::refusing_queues refusing_queues_;
     std::unique_ptr<state_reader> state_reader_; ///< While no owner answers.
     std::unique_ptr<rpc_server> rpc_server_;
     std::unique_ptr<http_server> client_server_;
--- a/src/front/member_service.cpp
+++ b/src/front/member_service.cpp
@@ -392,7 +392,8 @@
     return *client;
 }
 
-std::string member_service::encode_heartbeat_reply() const {
+std::string
+member_service::encode_heartbeat_reply(const std::string& waits) const {
     wire::beat_reply reply;
     reply.epoch = owner_.epoch;
     reply.owner = owner_.host.value;
@@ -401,6 +402,8 @@
         std::min<std::int64_t>(store_age().count(), 1 << 30));
     reply.owner_age_ms = static_cast<std::int32_t>(
         std::min<std::int64_t>(owner_age().count(), 1 << 30));
+    if (!waits.empty())
+        reply.__set_waits(waits);
     return wire_encode(reply);
 }
 
@@ -413,14 +416,16 @@
     peer(owner_.address).reset_backoff();
     peer(owner_.address)
         .call(wire::method::BEAT, wire_encode(request), HEARTBEAT_TIMEOUT,
-              [this, epoch = owner_.epoch](const rpc_call_result& answer) {
+              [this, epoch = owner_.epoch,
+               sent_at = event_loop::now()](const rpc_call_result& answer) {
                   // A late result says nothing about the present owner.
                   if (epoch == owner_.epoch)
-                      handle_heartbeat_reply(answer);
+                      handle_heartbeat_reply(answer, sent_at);
               });
 }
 
-void member_service::handle_heartbeat_reply(const rpc_call_result& answer) {
+void member_service::handle_heartbeat_reply(const rpc_call_result& answer,
+                                            mono_time sent_at) {
     heartbeat_pending_ = false;
     if (!answer.ok()) {
         if (answer.outcome == rpc_outcome::not_sent)
@@ -439,6 +444,8 @@
         return;
     handle_peer_reply(owner_.address, answer);
     owner_replied_at_ = event_loop::now();
+    if (reply.__isset.waits)
+        callbacks_.waits_received(reply.waits, sent_at);
     // An owner that can't reach the store can't start any runs.
     owner_lost_store_ =
         dispatch::has_lost_store(millis(reply.store_age_ms), max_store_gap());
--- a/src/front/member_service.hpp
+++ b/src/front/member_service.hpp
@@ -45,6 +45,12 @@
         std::function<void()> ownership_lost;
         /** The store has shown that nobody else had claimed by that time. */
         std::function<void(mono_time)> ownership_confirmed;
+        /**
+         * The owner has sent expected waits, in reply to a heartbeat that was
+         * sent at the given time.
+         */
+        std::function<void(const std::string& waits, mono_time sent_at)>
+            waits_received;
         /** The result of `members_in_touch` has changed. */
         std::function<void()> members_changed;
     };
@@ -116,8 +122,12 @@
     /** Client for calls to another entry host. */
     rpc_client& peer(const std::string& address);
 
-    /** Encodes the reply to another host's heartbeat. */
-    [[nodiscard]] std::string encode_heartbeat_reply() const;
+    /**
+     * Encodes the reply to another host's heartbeat.
+     * @param waits Expected waits of new jobs, encoded; empty: none.
+     */
+    [[nodiscard]] std::string
+    encode_heartbeat_reply(const std::string& waits) const;
 
 private:
     void handle_member_record(const platform::keyed_record& record);
@@ -134,7 +144,8 @@
     void remove_gone_members();
     /** Sends a heartbeat to the owner. */
     void send_heartbeat();
-    void handle_heartbeat_reply(const rpc_call_result& answer);
+    void handle_heartbeat_reply(const rpc_call_result& answer,
+                                mono_time sent_at);
     /** Sends a heartbeat to the owner on a new connection. */
     void reconnect_to_owner();
     /** Checks with a short read whether the store answers. */
--- a/src/front/owner_service.cpp
+++ b/src/front/owner_service.cpp
@@ -4,6 +4,7 @@
 #include "dispatch/partition_func.hpp"
 #include "dispatch/reader_func.hpp"
 #include "dispatch/record_packing.hpp"
+#include "dispatch/wait_codec.hpp"
 #include "net/program_runtime.hpp"
 #include "net/thrift_codec.hpp"
 #include "platform/wire_codec.hpp"
@@ -51,6 +52,11 @@
 constexpr millis MAX_TICK_DELAY{100};
 /** A longer suspension of the host counts as a possible loss of ownership. */
 constexpr millis MAX_IGNORED_SUSPENSION{200};
+/**
+ * Expected waits are sent up to this age. They are sent as if they had it, so
+ * that one encoding serves all hosts.
+ */
+constexpr millis MAX_SENT_WAITS_AGE{600};
 constexpr size_t KEY_PREFIX_BYTES = 2; ///< Length of `j/`, `c/` and `p/`.
 
 /** Time since boot during which this host was suspended. */
@@ -113,6 +119,7 @@
                    context_.members.store_answered();
                    owner_.ownership_confirmed(sent_at);
                }}),
+      submissions_(event_loop::now()),
       progress_partitions_to_load_(progress_writer_.partition_count()),
       start_timeout_(MIN_START_TIMEOUT, MAX_START_TIMEOUT),
       last_total_suspended_(total_suspended_time()) {
@@ -179,6 +186,30 @@
     return has_read_all_jobs(read_ages);
 }
 
+void owner_service::submission_announced(const job_id& job) {
+    submissions_.announced(job, event_loop::now());
+}
+
+bool owner_service::never_stored(const job_id& job) {
+    // A host that is not in touch stores jobs without announcing them.
+    return serving_ && knows_all_jobs() && owner_.jobs().find(job) == nullptr &&
+           !submissions_.may_be_stored(job, event_loop::now()) &&
+           context_.members.members_in_touch().size() ==
+               context_.members.members().size();
+}
+
+const std::string& owner_service::encoded_waits() {
+    const mono_time estimated_at = owner_.waits().updated_at();
+    if (!serving_ || estimated_at == mono_time{} ||
+        event_loop::now() - estimated_at > MAX_SENT_WAITS_AGE)
+        encoded_waits_.clear();
+    else if (encoded_waits_.empty() || estimated_at != encoded_waits_at_)
+        encoded_waits_ =
+            encode_waits(owner_.waits().waits(), MAX_SENT_WAITS_AGE);
+    encoded_waits_at_ = estimated_at;
+    return encoded_waits_;
+}
+
 void owner_service::start_loading() {
     for (const auto& follower : job_followers_)
         follower->start();
@@ -350,10 +381,18 @@
 }
 
 void owner_service::update_hosts() {
+    std::set<host_id> in_touch;
     std::vector<host_id> hosts{context_.settings.host};
     for (const auto& [host, member] : context_.members.members_in_touch())
-        if (host != context_.settings.host)
+        if (host != context_.settings.host) {
             hosts.push_back(host);
+            in_touch.insert(host);
+        }
+    // What such a host announced while it was cut off was lost.
+    if (!std::includes(hosts_in_touch_.begin(), hosts_in_touch_.end(),
+                       in_touch.begin(), in_touch.end()))
+        submissions_.announcements_lost(event_loop::now());
+    hosts_in_touch_ = std::move(in_touch);
     owner_.set_hosts(hosts);
     schedule_tick();
 }
--- a/src/front/owner_service.hpp
+++ b/src/front/owner_service.hpp
@@ -3,6 +3,7 @@
 
 #include "base/metrics_base.hpp"
 #include "dispatch/owner_base.hpp"
+#include "dispatch/submission_table.hpp"
 #include "dispatch/tick_pacer.hpp"
 #include "front/delegate_service.hpp"
 #include "front/member_service.hpp"
@@ -62,6 +63,15 @@
     [[nodiscard]] bool serving() const { return serving_; }
     /** Tells whether a job that is not known here does not exist. */
     [[nodiscard]] bool knows_all_jobs() const;
+    /** A host is about to store a job. */
+    void submission_announced(const job_id& job);
+    /**
+     * Tells whether no submission of a job has been stored or may be stored
+     * without this owner's knowledge.
+     */
+    [[nodiscard]] bool never_stored(const job_id& job);
+    /** Expected waits for other hosts; empty if there are no recent ones. */
+    [[nodiscard]] const std::string& encoded_waits();
     /** State of the cell's jobs and targets, and the decisions on them. */
     [[nodiscard]] const dispatch::owner& decisions() const { return owner_; }
 
@@ -145,6 +155,10 @@
     std::set<std::pair<job_id, dispatch::organisation_id>> loaded_cancels_;
     std::map<job_id, loaded_progress> loaded_progress_;
     std::set<std::string> target_keys_;
+    dispatch::submission_table submissions_;
+    std::set<host_id> hosts_in_touch_; ///< As of the last `update_hosts`.
+    std::string encoded_waits_;
+    mono_time encoded_waits_at_{}; ///< When those were estimated.
     int progress_partitions_to_load_ = 0;
     dispatch::adaptive_timeout start_timeout_;
     bool serving_ = false;
--- a/tests/process_front_test.cpp
+++ b/tests/process_front_test.cpp
@@ -113,7 +113,8 @@
                "bounds.maxHoldMs=6000\nbounds.stopMs=200\n"
                "bounds.gangWaitMs=3000\nbounds.graceS=6\n"
                "bounds.harmMs=4000\nunknown.field=x\nbounds.status_s="
-            << status_retention_s_ << "\n";
+            << status_retention_s_ << "\n"
+            << further_settings_;
         out.close();
         hosts_[host] = spawn("rattan_front", {"--settings=" + path.string()});
     }
@@ -255,11 +256,56 @@
     std::filesystem::path work_dir_;
     pid_t platform_pid_ = 0;
     int status_retention_s_ = 120; ///< For hosts started afterwards.
+    std::string further_settings_; ///< The same; lines of the settings file.
     /** Ends that nobody learned of, so that their tasks had to run again. */
     int lost_ends_ = 0;
     std::map<int, pid_t> hosts_;
 };
 
+/** Hosts that order work, and refuse jobs, by the cost of a delay. */
+class refusal_process_test : public front_process_test {
+protected:
+    static constexpr int BACKLOG_JOBS = 20;
+    static constexpr int BACKLOG_TASKS = 40;
+
+    refusal_process_test() {
+        further_settings_ = "scheduling.order=delay_cost\n";
+    }
+
+    /** Submits 800 tasks of 1 s; the 48 cores take about 17 s for them. */
+    void submit_backlog() {
+        for (int i = 0; i < BACKLOG_JOBS; ++i)
+            submit(job_name(1000 + i), 2, BACKLOG_TASKS, 1000);
+    }
+
+    /** Submits a job of one task of 100 ms, which is worth nothing after 2 s.
+     */
+    blocking_response submit_small(const std::string& job, int host) {
+        const json step = {
+            {"count", 1}, {"cpu", 1000}, {"memMb", 10}, {"estimateMs", 100}};
+        return call(
+            "POST", job, host,
+            json({{"taskSpec", "ms=100"}, {"jobSteps", {step}}}).dump());
+    }
+
+    /** Lines of the hosts' log that contain a text. */
+    int logged(const std::string& text) {
+        std::ifstream log(work_dir_ / "rattan_front.log");
+        int count = 0;
+        for (std::string line; std::getline(log, line);)
+            if (line.find(text) != std::string::npos)
+                ++count;
+        return count;
+    }
+
+    std::string metrics(int host) {
+        return send_http_request({.url = "http://" + network_prefix_ +
+                                         std::to_string(host) +
+                                         ":9464/metrics"})
+            .body;
+    }
+};
+
 } // namespace
 
 TEST_F(front_process_test, jobs_complete_through_every_host) {
@@ -763,3 +809,103 @@
     wait_for("the host to register again",
              [&] { return registered() == std::set<std::string>{owner_key}; });
 }
+
+// A 503 promises that the job never runs. Guards against a refused job that
+// runs, and against a refusal of a job that another host has accepted without
+// its caller's knowledge.
+TEST_F(refusal_process_test, hopeless_job_is_refused_and_never_runs) {
+    // The owner vouches for no job before it has known all announcements for
+    // 15 s (`submission_table::HOLD_TIME`).
+    std::this_thread::sleep_for(std::chrono::milliseconds(17'000));
+    // The answer to this job is lost: its caller has gone by the time it is
+    // stored.
+    const json lost_step = {
+        {"count", 1}, {"cpu", 1000}, {"memMb", 10}, {"estimateMs", 100}};
+    const std::string lost = job_name(1);
+    send_http_request(
+        {.method = "POST",
+         .url = "http://" + network_prefix_ +
+                "3:" + std::to_string(FRONT_PORT) + "/q/" + lost,
+         .body =
+             json({{"taskSpec", "ms=100"}, {"jobSteps", {lost_step}}}).dump(),
+         .headers = {{"Host", "shop.example"},
+                     {"Authorization", "Token key-1"}},
+         .timeout_ms = 10});
+    wait_for("the job without an answer to run",
+             [&] { return job_state(lost, 3) == "completed"; });
+    submit_backlog();
+
+    int accepted = 1 + BACKLOG_JOBS * BACKLOG_TASKS;
+    std::string refused;
+    blocking_response answer;
+    for (int i = 0; i < 60 && refused.empty(); ++i) {
+        const std::string job = job_name(2000 + i);
+        answer = submit_small(job, 2);
+        if (answer.status == 503)
+            refused = job;
+        else
+            ++accepted;
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    }
+    ASSERT_FALSE(refused.empty()) << "nothing was refused";
+    EXPECT_GE(std::stoi(answer.headers["retry-after"]), 1);
+    EXPECT_LE(std::stoi(answer.headers["retry-after"]), 60);
+    // The same specification, which would be refused as a new job.
+    EXPECT_EQ(submit_small(lost, 2).status, 200);
+    EXPECT_EQ(submit_small(job_name(1000), 2).status, 200);
+    EXPECT_EQ(submit_small(job_name(3000), 2).status, 503);
+    EXPECT_EQ(call("GET", refused, 1).status, 410);
+    EXPECT_NE(metrics(2).find("rattan_refused_hopeless_total 2"),
+              std::string::npos);
+    EXPECT_NE(metrics(2).find("rattan_expected_wait_seconds{queue=\"q\"}"),
+              std::string::npos);
+    EXPECT_EQ(logged("queue_starts_refusing"), 1);
+
+    wait_for("the accepted jobs to end",
+             [&] { return audit_count("done") == accepted; });
+    wait_for("the end of the refusals",
+             [&] { return logged("queue_stops_refusing") == 1; });
+    EXPECT_EQ(audit_count("done"), accepted);
+    EXPECT_EQ(audit_count("starts"), accepted);
+    for (int host = 1; host <= 3; ++host)
+        EXPECT_EQ(call("GET", refused, host).status, 410);
+    // Once there is room, the same job is accepted.
+    EXPECT_EQ(submit_small(refused, 1).status, 200);
+    wait_for("the job to run",
+             [&] { return job_state(refused, 1) == "completed"; });
+}
+
+TEST_F(refusal_process_test, new_owner_refuses_nothing) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(17'000));
+    const int old_owner = owner_host();
+    ASSERT_NE(old_owner, 0);
+    kill_process(hosts_.at(old_owner));
+    hosts_.erase(old_owner);
+    const int other = hosts_.begin()->first;
+    wait_for("another owner", [&] { return owner_host() != 0; });
+    for (int i = 0; i < BACKLOG_JOBS; ++i)
+        submit(job_name(1000 + i), other, BACKLOG_TASKS, 1000);
+    for (int i = 0; i < 50; ++i) {
+        EXPECT_EQ(submit_small(job_name(2000 + i), other).status, 200);
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    }
+}
+
+TEST_F(front_process_test, nothing_is_refused_with_the_switch_off) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(17'000));
+    for (int i = 0; i < 20; ++i)
+        submit(job_name(1000 + i), 2, 40, 1000);
+    const std::string small =
+        R"({"taskSpec":"ms=100","jobSteps":[{"count":1,"cpu":1000,)"
+        R"("memMb":10,"estimateMs":100}]})";
+    for (int i = 0; i < 60; ++i) {
+        EXPECT_EQ(call("POST", job_name(2000 + i), 2, small).status, 200);
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    }
+    const std::string metrics =
+        send_http_request(
+            {.url = "http://" + network_prefix_ + "2:9464/metrics"})
+            .body;
+    EXPECT_NE(metrics.find("rattan_requests"), std::string::npos);
+    EXPECT_EQ(metrics.find("refused_hopeless"), std::string::npos);
+}
