Tests: names of metrics with a label; what two process tests guard against

Cause: the escaping of label values had no test, and two tests did not say which failure they guard against. Change: metrics_base_test.label_values_are_escaped; two comments.

--- a/tests/metrics_base_test.cpp
+++ b/tests/metrics_base_test.cpp
@@ -15,6 +15,13 @@
     EXPECT_NE(text.find("process_cpu_seconds_total"), std::string::npos);
 }
 
+// Guards against a quote in the name of a queue that makes the text unreadable.
+TEST(metrics_base_test, label_values_are_escaped) {
+    EXPECT_EQ(labelled_name("wait", "queue", "q"), R"(wait{queue="q"})");
+    EXPECT_EQ(labelled_name("wait", "queue", "a\"b\\c\nd"),
+              R"(wait{queue="a\"b\\c\nd"})");
+}
+
 TEST(metrics_base_test, quantile_is_the_upper_edge_of_its_bucket) {
     latency_histogram histogram;
     for (int i = 0; i < 99; ++i)
--- a/tests/process_front_test.cpp
+++ b/tests/process_front_test.cpp
@@ -901,6 +901,8 @@
              [&] { return job_state(refused, 1) == "completed"; });
 }
 
+// Guards against refusals by what an owner has not measured itself, and of jobs
+// that were announced to the last owner only.
 TEST_F(refusal_process_test, new_owner_refuses_nothing) {
     std::this_thread::sleep_for(std::chrono::milliseconds(17'000));
     const int old_owner = owner_host();
@@ -917,6 +919,7 @@
     }
 }
 
+// Guards against a change of what deployments without the switch accept.
 TEST_F(front_process_test, nothing_is_refused_with_the_switch_off) {
     std::this_thread::sleep_for(std::chrono::milliseconds(17'000));
     for (int i = 0; i < 20; ++i)
