--- a/src/dispatch/owner_base.cpp
+++ b/src/dispatch/owner_base.cpp
@@ -120,6 +120,8 @@
 }
 
 bool owner::consume_rate_credit(const job_record& record) {
+    if (settings_.scheduling.order_by_delay_cost)
+        return within_rate(record);
     const organisation_config* organisation =
         find_organisation(config_, record.organisation);
     if (organisation == nullptr || organisation->weight <= 0)
@@ -153,6 +155,8 @@
     job_entry& job = *jobs_.find(id);
     add_live_job(job);
     job.over_rate = !consume_rate_credit(job.record);
+    record_job_work(job.record);
+    note_submitted(job, clock);
     jobs_.start_due_repeats(job, clock.wall_ms, clock.now);
     schedule_due_ = true;
     output_.log("job_taken", id,
@@ -268,6 +272,7 @@
 
 void owner::records_stored(const owner_clock& clock) {
     store_pending_ = false;
+    stored_at_ = clock.now;
     for (const auto& [id, end] : ends_in_store_call_) {
         target_state* target = targets_.find(id);
         if (target == nullptr || target->incarnation != end.incarnation)
@@ -288,6 +293,7 @@
             continue;
         repeating_jobs_.erase(id);
         advice_.remove(id);
+        corrections_.remove(id);
         output_.log(
             "job_ended", id,
             "state=" + std::to_string(static_cast<int>(job->state)) +
@@ -312,6 +318,7 @@
         next_schedule_ = clock.now + MIN_SCHEDULE_PERIOD;
         schedule(clock);
     }
+    update_expected_waits(clock);
     send_stops(clock);
     store_changes();
     send_due_polls(clock);
--- a/src/dispatch/owner_place.cpp
+++ b/src/dispatch/owner_place.cpp
@@ -164,11 +164,16 @@
     suspects_.begin_round(clock.now);
     collect_schedulable(clock.now);
     advice_.begin_round();
-    const std::vector<runnable_step> steps = runnable_steps(clock);
-    for (const runnable_step& step : steps)
-        if (allocation_for(step.spec->demand, step.spec->best_effort)
-                .fits_in(largest_free_))
-            place_step(step, clock);
+    const bool by_delay_cost = settings_.scheduling.order_by_delay_cost;
+    std::vector<runnable_step> steps =
+        by_delay_cost ? steps_by_delay_cost(clock) : runnable_steps(clock);
+    if (by_delay_cost)
+        place_by_delay_cost(steps, clock);
+    else
+        for (const runnable_step& step : steps)
+            if (allocation_for(step.spec->demand, step.spec->best_effort)
+                    .fits_in(largest_free_))
+                place_step(step, clock);
     place_copies(steps, clock);
     if (suspects_.has_waiting()) {
         schedule_due_ = true;
@@ -219,9 +224,12 @@
 }
 
 resources owner::remaining_quota(const runnable_step& step) const {
+    return remaining_quota(jobs_.find(step.ref.job)->record.organisation);
+}
+
+resources owner::remaining_quota(const organisation_id& name) const {
     constexpr std::int64_t UNLIMITED = std::numeric_limits<std::int64_t>::max();
     constexpr std::int64_t NOTHING = -1; // Not even a task without demand fits.
-    const organisation_id& name = jobs_.find(step.ref.job)->record.organisation;
     const organisation_config* organisation = find_organisation(config_, name);
     if (name.empty())
         return {UNLIMITED, UNLIMITED, UNLIMITED};
@@ -276,7 +284,9 @@
         step_entry& entry = *jobs_.find(step.ref);
         const std::vector<target_state*>& order = by_end ? slots : candidates;
         size_t position = 0;
-        for (size_t i = 0; i < entry.tasks.size() && position < order.size();
+        std::int64_t placed = 0;
+        for (size_t i = 0; i < entry.tasks.size() && position < order.size() &&
+                           placed < step.max_tasks;
              ++i) {
             const task_entry& task = entry.tasks[i];
             if (task.phase != task_phase::waiting ||
@@ -303,6 +313,7 @@
             place_task(step, static_cast<std::int32_t>(i), task.run + 1,
                        *choice, clock);
             position += by_end ? 1 : 0;
+            ++placed;
         }
         if (suspects)
             place_suspects(step, candidates, clock);
@@ -316,7 +327,8 @@
     std::vector<target_state*> out;
     const auto add_candidate = [&](target_state& target) {
         if (target.schedulable && free_slots(step, target) > 0 &&
-            matches_constraints(step, target))
+            matches_constraints(step, target) &&
+            !held_for_gang(step, target, clock))
             out.push_back(&target);
     };
     if (!step.queue->advice) {
@@ -412,6 +424,7 @@
     if (settings_.scheduling.place_by_expected_end)
         ++placed_by_class_[speed_class(target.speed.slowness)];
     suspects_.placed(target, task);
+    note_placed(*jobs_.find(step.ref.job), *step.spec);
     unstored_runs_.emplace_back(target.entry.id, task);
 }
 
--- a/tests/dispatch_world.hpp
+++ b/tests/dispatch_world.hpp
@@ -40,7 +40,8 @@
     double target_clock_rate = 1;
     /** Standard deviation of the logarithm of actual duration over estimate. */
     double estimate_error = 0;
-    scheduling_policy scheduling;
+    /** Settings of each owner, except for the epoch. */
+    owner_settings settings;
     /** Kinds of targets in turn; empty: all of kind "a". */
     std::vector<target_kind> kinds;
     /** Milli-cores of the targets in turn; empty: by `target_cores`. */
@@ -52,6 +53,8 @@
      * there; otherwise they end at the next event.
      */
     bool exact_lease_ends = false;
+    /** Median of actual duration over estimate. */
+    double estimate_factor = 1;
 };
 
 /** Distribution of the jobs of a queue. */
@@ -90,6 +93,19 @@
     int given_up = 0;
 };
 
+/** Outcome of one job. */
+struct single_outcome {
+    std::string queue;
+    std::string organisation;
+    double work = 0; ///< Milli-core-milliseconds by the actual durations.
+    std::int64_t objective_ms = 0;
+    std::int64_t took_ms = 0; ///< From submission to end; 0: not ended.
+
+    [[nodiscard]] bool in_time() const {
+        return took_ms > 0 && took_ms <= objective_ms;
+    }
+};
+
 /**
  * Runs an owner against simulated targets and counts violations such as
  * overlapping runs.
@@ -196,6 +212,10 @@
     /** Second copies of tasks that the owner has placed. */
     [[nodiscard]] int copies() const { return copies_; }
     /** A step that allows speculation may have two runs of a task. */
+    /** Outcome of each job in the order of submission. */
+    [[nodiscard]] std::vector<single_outcome> outcomes() const;
+    /** Hash of all start orders with their times. */
+    [[nodiscard]] std::uint64_t start_hash() const { return start_hash_; }
     [[nodiscard]] int overlapping_runs() const { return overlapping_runs_; }
     /** The same without runs that their target no longer holds a lease for. */
     [[nodiscard]] int overlapping_held_runs() const {
@@ -471,6 +491,7 @@
     std::uint64_t starts_hash_ = 0;
     std::map<std::pair<std::string, std::string>, int> starts_by_kind_;
     std::map<int, int> starts_by_target_;
+    std::uint64_t start_hash_ = 0;
     int polls_ = 0;
     int starts_with_old_ticket_ = 0;
     int starts_in_reached_process_ = 0;
--- a/tests/placement_copy_test.cpp
+++ b/tests/placement_copy_test.cpp
@@ -49,13 +49,14 @@
 /** Targets turn slow for some seconds in turn, beside other faults. */
 history_outcome play(std::uint32_t seed, unsigned faults) {
     std::mt19937 random(seed * 2654435761U + faults);
-    simulated_cell cell({.seed = seed,
-                         .targets = TARGETS,
-                         .append_latency = millis(30),
-                         .list_delay = millis(draw(random, 10, 2500)),
-                         .scheduling = {.place_by_expected_end = true},
-                         .run_noise_percent = 14,
-                         .exact_lease_ends = true});
+    simulated_cell cell(
+        {.seed = seed,
+         .targets = TARGETS,
+         .append_latency = millis(30),
+         .list_delay = millis(draw(random, 10, 2500)),
+         .settings = {.scheduling = {.place_by_expected_end = true}},
+         .run_noise_percent = 14,
+         .exact_lease_ends = true});
     cell.add_queue({.queue = "direct", .without_advice = true});
     cell.add_queue({.queue = "advised",
                     .advice = {1, 0.01, millis(2500)},
@@ -156,12 +157,13 @@
 
 /** Steps of ten tasks while targets turn slow; returns the duration of jobs. */
 std::vector<millis> play_slow_targets(bool speculation_allowed, int& copies) {
-    simulated_cell cell({.seed = 1,
-                         .targets = 24,
-                         .append_latency = millis(30),
-                         .scheduling = {.place_by_expected_end = true},
-                         .run_noise_percent = 14,
-                         .exact_lease_ends = true});
+    simulated_cell cell(
+        {.seed = 1,
+         .targets = 24,
+         .append_latency = millis(30),
+         .settings = {.scheduling = {.place_by_expected_end = true}},
+         .run_noise_percent = 14,
+         .exact_lease_ends = true});
     cell.add_queue({.queue = "quick", .advice = {25, 0.4, millis(2500)}});
     cell.add_organisation("o", 1000);
     const job_spec spec{
--- a/tests/placement_speed_test.cpp
+++ b/tests/placement_speed_test.cpp
@@ -39,7 +39,7 @@
             .targets = 40,
             .hosts = 12,
             .append_latency = millis(30),
-            .scheduling = scheduling,
+            .settings = {.scheduling = scheduling},
             .kinds = {{"a", 1}, {"b", 1.27}},
             .sizes = {8000, 8000, 16000, 16000, 32000, 32000, 64000, 64000},
             .run_noise_percent = 14};
--- a/tests/placement_unchanged_test.cpp
+++ b/tests/placement_unchanged_test.cpp
@@ -52,7 +52,7 @@
 start_history play(std::uint32_t seed, const scheduling_policy& scheduling) {
     simulated_cell cell({.seed = seed,
                          .targets = 24,
-                         .scheduling = scheduling,
+                         .settings = {.scheduling = scheduling},
                          .kinds = {{"a", 1}, {"b", 1.25}},
                          .sizes = {8000, 16000, 32000, 64000, 16000},
                          .run_noise_percent = 12});
