Entry host: limit memory and connections of clients, peers and answers

Cause: a process kept every body that clients sent, up to 1 MB for each of up to 3,500 connections, frames of peers up to 64 MB for each of 512 connections, and answers up to 16 MB for each call. Nothing limited the sum, and a client that stopped short of its end kept its body for as long as it sent one byte in 30 s. With fewer than 600 descriptors the limit on clients' connections was negative.

Change: resource_shares divides limits.memoryMb and limits.maxFds among clients, answers and peers. caller_budget counts the buffers of each kind and budget_claim those of one connection, by capacity. A declared body counts once its headers have been read, a chunked one as it grows. A body over the limit of the configuration gets 413 before it is read, a request over the budget 503 with Retry-After; both close the connection. Large bodies leave a quarter of the budget to bodies of up to 16 KB. Connections on which fewer than 1,024 bytes move in 8 periods of 1 s are closed, in 2 periods while requests are refused or connections are scarce. If limits.memoryMb is stated, sockets have small kernel buffers and the listening queue is short. New counters tell what was refused. The programs without a budget behave as before.

--- a/src/front/front_main.cpp
+++ b/src/front/front_main.cpp
@@ -5,6 +5,8 @@
 
 #include <gflags/gflags.h>
 
+#include <malloc.h>
+
 #include <cstdlib>
 #include <iostream>
 
@@ -13,7 +15,11 @@
 namespace {
 
 constexpr int EXIT_BAD_SETTINGS = 2;
-constexpr std::size_t RESERVED_DESCRIPTORS = 200; ///< For open files.
+/**
+ * Buffers of this size are mapped, so that freed ones return to the system.
+ * By default the library raises this limit when such a buffer is freed.
+ */
+constexpr int MAPPED_BUFFER_BYTES = 128 << 10;
 
 /** The settings file's path: the flag, else $RATTANKNOT_SETTINGS. */
 std::string settings_path() {
@@ -36,7 +42,9 @@
     try {
         const auto settings = platform::load_platform_settings(settings_path());
         log_open({.program = "rattan_front"});
-        event_loop loop(settings.max_descriptors - RESERVED_DESCRIPTORS);
+        if (settings.memory_bytes > 0)
+            mallopt(M_MMAP_THRESHOLD, MAPPED_BUFFER_BYTES);
+        event_loop loop(settings.max_descriptors);
         front::front_service service(loop, settings);
         loop.on_signals([&] { service.shut_down(); },
                         [&] { service.log_state_dump(); });
--- a/src/front/front_service.cpp
+++ b/src/front/front_service.cpp
@@ -34,16 +34,13 @@
 constexpr millis MIN_SHUTDOWN_TIME{2500};
 /** Shutdown ends this long before the grace period does. */
 constexpr millis GRACE_MARGIN{1000};
-/** Twice this number of descriptors is not available to clients. */
-constexpr std::size_t RESERVED_DESCRIPTORS = 300;
+/** Limit on a body while the configuration states none. */
+constexpr std::size_t DEFAULT_BODY_LIMIT = 1U << 20U;
+/** Requests for readiness and metrics have no body. */
+constexpr std::size_t ADMIN_BODY_LIMIT = 4096;
 constexpr unsigned CLIENT_IDLE_TIMEOUT_S = 30;
 /** Questions that the owner holds until the end of a job is stored. */
 constexpr std::size_t MAX_STATE_WAITERS = 2000;
-/**
- * The owner has a long poll pending on each partition of jobs and four others,
- * besides appends and loads.
- */
-constexpr long MAX_STORE_CONNECTIONS = 64;
 
 int job_partitions(const platform::platform_settings& settings) {
     return job_partition_count(settings.store_partitions,
@@ -66,8 +63,24 @@
 front_service::front_service(event_loop& loop,
                              const platform::platform_settings& settings)
     : loop_(loop), settings_(settings), incarnation_(wall_millis()),
-      http_(loop),
-      store_http_(loop, {.connections_per_server = MAX_STORE_CONNECTIONS}),
+      shares_(
+          divide_resources(settings.memory_bytes, settings.max_descriptors)),
+      body_budget_(shares_.bodies), answer_budget_(shares_.answers),
+      peer_budget_(shares_.peers),
+      http_(loop, {.connections = static_cast<long>(shares_.target_connections),
+                   .response_bytes = shares_.target_answer,
+                   .budget = &answer_budget_,
+                   .receive_buffer_bytes =
+                       settings.memory_bytes > 0 ? RECEIVE_BUFFER_BYTES : 0,
+                   .metrics = &metrics_}),
+      store_http_(
+          loop, {.connections_per_server =
+                     static_cast<long>(shares_.store_connections),
+                 .response_bytes = shares_.store_answer,
+                 .budget = &answer_budget_,
+                 .receive_buffer_bytes =
+                     settings.memory_bytes > 0 ? STORE_RECEIVE_BUFFER_BYTES : 0,
+                 .metrics = &metrics_}),
       store_(store_http_, settings.store_address),
       rpc_address_(settings.ip + ":" +
                    std::to_string(settings.first_internal_port)),
@@ -126,16 +139,40 @@
     job_writer_.on_answered([this] { members_.store_answered(); });
 }
 
+http_limits front_service::server_limits(std::size_t connections) {
+    http_limits limits{.body_bytes = ADMIN_BODY_LIMIT,
+                       .connections = static_cast<unsigned>(connections),
+                       .idle_s = CLIENT_IDLE_TIMEOUT_S,
+                       .budget = &body_budget_,
+                       .metrics = &metrics_};
+    if (settings_.memory_bytes > 0) {
+        limits.receive_buffer_bytes = RECEIVE_BUFFER_BYTES;
+        limits.send_buffer_bytes = SEND_BUFFER_BYTES;
+        limits.backlog = CLIENT_BACKLOG;
+    }
+    return limits;
+}
+
+rpc_limits front_service::peer_limits() {
+    return {.connections = shares_.peer_connections,
+            .frame_bytes = shares_.peer_frame,
+            .budget = &peer_budget_,
+            .socket_buffer_bytes =
+                settings_.memory_bytes > 0 ? RECEIVE_BUFFER_BYTES : 0,
+            .metrics = &metrics_};
+}
+
 void front_service::start() {
+    members_.set_peer_limits(peer_limits());
     serve_rpc();
     readiness_server_ = std::make_unique<http_server>(
-        loop_, settings_.ready_address, http_limits{.connections = 50},
+        loop_, settings_.ready_address, server_limits(shares_.readiness),
         [this](const http_request&, const http_server::responder& answer) {
             answer({.status = ready() ? 200 : 503, .body = "{}"});
         });
     metrics_server_ = std::make_unique<http_server>(
         loop_, settings_.ip + ":" + std::to_string(METRICS_PORT),
-        http_limits{.connections = 20},
+        server_limits(shares_.metrics),
         [this](const http_request& request,
                const http_server::responder& answer) {
             if (request.path == "/dump")
@@ -143,13 +180,11 @@
             else
                 answer({.body = metrics_.text(), .content_type = "text/plain"});
         });
+    http_limits client_limits = server_limits(shares_.clients);
+    client_limits.body_bytes = DEFAULT_BODY_LIMIT;
+    client_limits.captured_headers = {platform::DEADLINE_HEADER};
     client_server_ = std::make_unique<http_server>(
-        loop_, settings_.client_address,
-        http_limits{.body_bytes = 1U << 20U,
-                    .connections = static_cast<unsigned>(
-                        settings_.max_descriptors - 2 * RESERVED_DESCRIPTORS),
-                    .idle_s = CLIENT_IDLE_TIMEOUT_S,
-                    .captured_headers = {platform::DEADLINE_HEADER}},
+        loop_, settings_.client_address, client_limits,
         [this](const http_request& request, http_server::responder answer) {
             handle_request(request, std::move(answer));
         });
@@ -194,6 +229,10 @@
         if (config.version < config_.version)
             return;
         config_ = std::move(config);
+        client_server_->set_body_limit(
+            config_.max_body_bytes > 0
+                ? std::min(config_.max_body_bytes, DEFAULT_BODY_LIMIT)
+                : DEFAULT_BODY_LIMIT);
         log_event(log_level::info, "config_in_force",
                   {{"version", std::to_string(config_.version)},
                    {"queues", std::to_string(config_.queues.size())}});
@@ -220,7 +259,8 @@
 }
 
 void front_service::serve_rpc() {
-    rpc_server_ = std::make_unique<rpc_server>(loop_, rpc_address_);
+    rpc_server_ =
+        std::make_unique<rpc_server>(loop_, rpc_address_, peer_limits());
     delegate_service::register_call_method(*rpc_server_, http_);
     rpc_server_->on(
         wire::method::BEAT,
@@ -336,6 +376,7 @@
     std::string encoded;
     try {
         record.spec = platform::decode_job(pending->request.body);
+        std::string().swap(pending->request.body); // One copy is enough.
         encoded = encode_job(record);
         check_job_size(record.spec, encoded.size(), settings_.max_record_bytes);
     } catch (const decode_error& failure) {
--- a/src/front/front_service.hpp
+++ b/src/front/front_service.hpp
@@ -9,7 +9,9 @@
 #include "front/record_writer.hpp"
 #include "front/state_reader.hpp"
 #include "front/topic_follower.hpp"
+#include "net/caller_budget.hpp"
 #include "net/http_server.hpp"
+#include "net/resource_shares.hpp"
 #include "net/rpc_server.hpp"
 #include "platform/platform_settings.hpp"
 
@@ -137,6 +139,10 @@
     void handle_operator_record(const platform::keyed_record& record);
     /** Drops evacuations whose records are not in the loaded snapshot. */
     void handle_operator_records_loaded(const std::set<std::string>& keys);
+    /** Limits of a server for clients, health checks or metrics. */
+    [[nodiscard]] http_limits server_limits(std::size_t connections);
+    /** Limits of RPC connections to and from other hosts. */
+    [[nodiscard]] rpc_limits peer_limits();
     /** Registers the methods that other entry hosts call. */
     void serve_rpc();
     /** Result of the load balancer's readiness check. */
@@ -148,8 +154,12 @@
     platform::platform_settings settings_;
     std::int64_t incarnation_;
     metrics_registry metrics_;
-    http_client http_;       ///< For targets and the advice service.
-    http_client store_http_; ///< For the store, with many long polls.
+    resource_shares shares_;
+    caller_budget body_budget_;   ///< Of clients' requests.
+    caller_budget answer_budget_; ///< Of answers to calls of this process.
+    caller_budget peer_budget_;   ///< Of frames from and to other hosts.
+    http_client http_;            ///< For targets and the advice service.
+    http_client store_http_;      ///< For the store, with many long polls.
     platform::store_client store_;
     std::string rpc_address_;
     member_service members_;
--- a/src/front/front_write.cpp
+++ b/src/front/front_write.cpp
@@ -143,6 +143,9 @@
     // another one.
     reply.close = result != write_result::stored && !can_store();
     pending->answer(reply);
+    // The timer of a second write holds the request for some time longer.
+    pending->request = {};
+    std::string().swap(pending->record_value);
 }
 
 } // namespace rattan::front
--- a/src/front/member_service.cpp
+++ b/src/front/member_service.cpp
@@ -387,8 +387,8 @@
 rpc_client& member_service::peer(const std::string& address) {
     auto& client = peers_[address];
     if (!client)
-        client = std::make_unique<rpc_client>(loop_, address,
-                                              timeout_policy::reconnect);
+        client = std::make_unique<rpc_client>(
+            loop_, address, timeout_policy::reconnect, peer_limits_);
     return *client;
 }
 
--- a/src/front/member_service.hpp
+++ b/src/front/member_service.hpp
@@ -54,6 +54,9 @@
                    std::string own_address, std::int64_t incarnation,
                    callbacks handlers);
 
+    /** Sets the limits of calls to other hosts. @pre There were none. */
+    void set_peer_limits(const rpc_limits& limits) { peer_limits_ = limits; }
+
     void start();
     /**
      * Removes the record of this host, releases ownership, if held, and makes
@@ -174,6 +177,7 @@
     std::map<host_id, dispatch::member_record> member_records_;
     dispatch::contact_table contacts_; ///< While this host is the owner.
     std::set<host_id> hosts_in_touch_; ///< As of the last callback.
+    rpc_limits peer_limits_;
     std::map<std::string, std::unique_ptr<rpc_client>> peers_;
     dispatch::owner_record owner_;
     std::optional<received_handover> handover_;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -1,6 +1,7 @@
 #include "net/http_client.hpp"
 
 #include "base/log_func.hpp"
+#include "net/budget_claim.hpp"
 #include "rattan/error_type.hpp"
 
 #include <ace/Event_Handler.h>
@@ -9,6 +10,7 @@
 #include <array>
 #include <strings.h>
 #include <sys/epoll.h>
+#include <sys/socket.h>
 #include <unistd.h>
 #include <unordered_map>
 #include <utility>
@@ -17,11 +19,17 @@
 
 namespace {
 
-constexpr size_t MAX_RESPONSE_BYTES = 16U << 20U;
+constexpr size_t MAX_HEADER_BYTES = 64U << 10U; ///< Of one response.
 constexpr size_t MAX_EVENTS = 64;
 
 /** State of one call. */
 struct transfer {
+    explicit transfer(const http_client_limits& client_limits)
+        : limits(client_limits), claim(client_limits.budget) {}
+
+    const http_client_limits& limits;
+    budget_claim claim; ///< Counts the capacity of the response's body.
+    size_t header_bytes = 0;
     http_call call;
     http_client::callback done;
     http_call_result answer;
@@ -29,21 +37,40 @@
     int attempts = 0; ///< Times that the library began to send the request.
 
     ~transfer() { curl_slist_free_all(headers); }
+
+    void count(const char* metric) const {
+        if (limits.metrics != nullptr)
+            ++limits.metrics->counter(metric);
+    }
 };
 
-/** Appends to the response body; aborts a body over `MAX_RESPONSE_BYTES`. */
+/** Appends to the response body; aborts a body over a limit. */
 size_t append_body(char* data, size_t size, size_t count, void* target) {
-    auto& body = static_cast<transfer*>(target)->answer.body;
-    if (body.size() + size * count > MAX_RESPONSE_BYTES)
+    auto* state = static_cast<transfer*>(target);
+    std::string& body = state->answer.body;
+    const size_t bytes = size * count;
+    const size_t limit = state->limits.response_bytes;
+    if (body.size() + bytes > limit) {
+        state->count("answers_too_large");
         return 0;
-    body.append(data, size * count);
-    return size * count;
+    }
+    if (!state->claim.append(body, data, bytes, limit)) {
+        state->count("answers_over_budget");
+        return 0;
+    }
+    return bytes;
 }
 
 /** Stores the value of the `X-Request-Id` response header. */
 size_t parse_header(char* data, size_t size, size_t count, void* target) {
     constexpr std::string_view name = "x-request-id:";
     std::string_view line(data, size * count);
+    auto* state = static_cast<transfer*>(target);
+    state->header_bytes += line.size();
+    if (state->header_bytes > MAX_HEADER_BYTES) {
+        state->count("answers_too_large");
+        return 0;
+    }
     if (line.size() > name.size() &&
         strncasecmp(line.data(), name.data(), name.size()) == 0) {
         line.remove_prefix(name.size());
@@ -51,11 +78,17 @@
             line.remove_prefix(1);
         while (!line.empty() && (line.back() == '\r' || line.back() == '\n'))
             line.remove_suffix(1);
-        static_cast<transfer*>(target)->answer.request_id = line;
+        state->answer.request_id = line;
     }
     return size * count;
 }
 
+/** Sets the size of the receive buffer of a new socket. */
+int set_socket_options(void* target, curl_socket_t handle, curlsocktype) {
+    setsockopt(handle, SOL_SOCKET, SO_RCVBUF, target, sizeof(int));
+    return CURL_SOCKOPT_OK;
+}
+
 /**
  * Called by the library before it sends a request. When a reused connection
  * breaks, the library retries on a new one; this aborts the retry, because the
@@ -120,6 +153,8 @@
     curl_multi_setopt(multi_, CURLMOPT_MAX_HOST_CONNECTIONS,
                       limits.connections_per_server);
     curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, 1024L);
+    curl_multi_setopt(multi_, CURLMOPT_MAX_TOTAL_CONNECTIONS,
+                      limits.connections);
 }
 
 http_client::impl::~impl() {
@@ -226,6 +261,11 @@
     curl_easy_setopt(easy, CURLOPT_HEADERDATA, &state);
     curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &abort_retry);
     curl_easy_setopt(easy, CURLOPT_PREREQDATA, &state);
+    if (limits_.receive_buffer_bytes > 0) {
+        curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &set_socket_options);
+        curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA,
+                         &limits_.receive_buffer_bytes);
+    }
     curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
     if (call.method == "POST" || call.method == "PUT") {
         curl_easy_setopt(easy, CURLOPT_POST, 1L);
@@ -256,7 +296,7 @@
         idle_handles_.pop_back();
         curl_easy_reset(easy);
     }
-    auto state = std::make_unique<transfer>();
+    auto state = std::make_unique<transfer>(limits_);
     state->call = call;
     state->done = std::move(done);
     set_options(easy, *state);
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,5 +1,9 @@
 #include "net/http_server.hpp"
 
+#include "net/budget_claim.hpp"
+#include "net/lingering_sockets.hpp"
+#include "net/progress_check.hpp"
+#include "net/tcp_progress_func.hpp"
 #include "rattan/error_type.hpp"
 
 #include <ace/Event_Handler.h>
@@ -8,9 +12,12 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <sys/socket.h>
 
+#include <charconv>
 #include <cstring>
 #include <set>
+#include <unordered_map>
 #include <utility>
 
 namespace rattan {
@@ -22,11 +29,30 @@
 /** Timeout that `close_idle_connections` sets. */
 constexpr unsigned IDLE_CLOSE_TIMEOUT_S = 1;
 
+/** Period at which the progress of connections is checked. */
+constexpr millis PROGRESS_PERIOD{1000};
+/** A connection is closed after this number of periods without progress. */
+constexpr unsigned MAX_SLOW_PERIODS = 8;
+/** The same while requests are refused or connections are scarce. */
+constexpr unsigned MAX_SLOW_PERIODS_IN_NEED = 2;
+/** A client's silent connection is kept this long at the limit. */
+constexpr unsigned MAX_IDLE_PERIODS_AT_LIMIT = 5;
+/** Connections are scarce from three quarters of their limit on. */
+constexpr size_t SCARCE_NUMERATOR = 3;
+constexpr size_t SCARCE_DENOMINATOR = 4;
+/** After a refusal, slow connections are closed early for this time. */
+constexpr millis NEED_TIME{3000};
+constexpr int RETRY_AFTER_S = 1;
+
 /** State of one request from its headers to the end of its response. */
 struct exchange_state {
+    explicit exchange_state(caller_budget* budget) : claim(budget) {}
+
     http_request request;
+    budget_claim claim; ///< Counts the capacity of the body.
     http_response response;
     bool body_too_large = false;
+    bool refused = false; ///< The connection is closed without a handler.
     bool dispatched = false;
     bool answered = false;
     bool suspended = false;
@@ -41,6 +67,60 @@
     return value != nullptr ? value : "";
 }
 
+/** Value of a `Content-Length` header; 0 if it is missing. */
+size_t declared_length(MHD_Connection* connection) {
+    const std::string text =
+        header_value(connection, MHD_HTTP_HEADER_CONTENT_LENGTH);
+    size_t length = 0;
+    // The library has refused a value that is not a number.
+    std::from_chars(text.data(), text.data() + text.size(), length);
+    return length;
+}
+
+int socket_of(MHD_Connection* connection) {
+    return MHD_get_connection_info(connection,
+                                   MHD_CONNECTION_INFO_CONNECTION_FD)
+        ->connect_fd;
+}
+
+http_response too_large_response() {
+    return {.status = 413,
+            .body = R"({"type":"urn:rattanknot:too-large","status":413})"
+                    "\n",
+            .content_type = "application/problem+json"};
+}
+
+http_response over_budget_response() {
+    return {.status = 503,
+            .body = R"({"type":"urn:rattanknot:busy","status":503})"
+                    "\n",
+            .content_type = "application/problem+json",
+            .retry_after_s = RETRY_AFTER_S};
+}
+
+/** Encodes a response after which the connection is closed. */
+std::string encode_last_response(const http_response& response) {
+    std::string text =
+        "HTTP/1.1 " + std::to_string(response.status) +
+        (response.status == 413 ? " Content Too Large"
+                                : " Service Unavailable") +
+        "\r\nContent-Type: " + response.content_type +
+        "\r\nContent-Length: " + std::to_string(response.body.size()) +
+        "\r\nConnection: close\r\n";
+    if (response.retry_after_s > 0)
+        text +=
+            "Retry-After: " + std::to_string(response.retry_after_s) + "\r\n";
+    return text + "\r\n" + response.body;
+}
+
+/** State of one connection. */
+struct connection_state {
+    progress_check progress;
+    bool served = false;    ///< A request has been completed.
+    bool suspended = false; ///< The handler has not answered yet.
+    bool refused = false;   ///< Its peer may still be sending.
+};
+
 /** Adds one query argument to a map. */
 MHD_Result add_query_argument(void* target, MHD_ValueKind, const char* name,
                               const char* value) {
@@ -90,6 +170,8 @@
     /** Shortens the timeout of the connections without a request. */
     void close_idle_connections();
 
+    void set_body_limit(size_t bytes) { limits_.body_bytes = bytes; }
+
     size_t in_flight = 0;
     bool draining = false; ///< Close each connection after its response.
 
@@ -109,6 +191,19 @@
                                                    const char* method);
     /** Passes a complete request to the handler. */
     MHD_Result dispatch(const std::shared_ptr<exchange_state>& exchange);
+    /** Checks a body's declared length. @return Status to refuse it, or 0. */
+    int check_declared(MHD_Connection* connection, exchange_state& exchange);
+    /** Appends to a body. @return `MHD_NO` if the request is refused. */
+    MHD_Result receive(exchange_state& exchange, const char* data, size_t size);
+    /** Notes a refusal in the metrics and the state of the connection. */
+    void note_refusal(MHD_Connection* connection, int status);
+    /** Closes connections on which too few bytes move. */
+    void close_stalled_connections();
+    void count(const char* metric) {
+        if (limits_.metrics != nullptr)
+            ++limits_.metrics->counter(metric);
+    }
+
     /** Defers a call of `run_once`, unless one is pending. */
     void schedule_run();
     /** Lets the library handle its pending events and timeouts. */
@@ -123,12 +218,16 @@
     std::set<exchange_state*> suspended_;
     /** Connections without a request in progress. */
     std::set<MHD_Connection*> idle_connections_;
+    std::unordered_map<MHD_Connection*, connection_state> connections_;
+    lingering_sockets lingering_;
+    mono_time refused_at_{}; ///< When the budget was last exhausted.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 http_server::impl::impl(event_loop& loop, const std::string& address,
                         const http_limits& limits, handler handle)
-    : loop_(loop), limits_(limits), handle_(std::move(handle)) {
+    : loop_(loop), limits_(limits), handle_(std::move(handle)),
+      lingering_(loop) {
     const ACE_INET_Addr local(address.c_str());
     sockaddr_in bound{};
     std::memcpy(&bound, local.get_addr(), sizeof bound);
@@ -141,9 +240,20 @@
         MHD_OPTION_CONNECTION_MEMORY_LIMIT, limits.connection_bytes,
         MHD_OPTION_NOTIFY_COMPLETED, &impl::on_completed, this,
         MHD_OPTION_NOTIFY_CONNECTION, &impl::on_connection, this,
-        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_LISTEN_BACKLOG_SIZE,
+        limits.backlog > 0 ? limits.backlog : unsigned{SOMAXCONN},
+        MHD_OPTION_END);
     if (daemon_ == nullptr)
         throw system_error("can't listen on " + address);
+    // Accepted sockets inherit the sizes of the listening socket.
+    const int listener =
+        MHD_get_daemon_info(daemon_, MHD_DAEMON_INFO_LISTEN_FD)->listen_fd;
+    if (limits.receive_buffer_bytes > 0)
+        setsockopt(listener, SOL_SOCKET, SO_RCVBUF,
+                   &limits.receive_buffer_bytes, sizeof(int));
+    if (limits.send_buffer_bytes > 0)
+        setsockopt(listener, SOL_SOCKET, SO_SNDBUF, &limits.send_buffer_bytes,
+                   sizeof(int));
     const MHD_DaemonInfo* info =
         MHD_get_daemon_info(daemon_, MHD_DAEMON_INFO_EPOLL_FD);
     epoll_ = info->epoll_fd;
@@ -152,6 +262,12 @@
         if (!alive.expired())
             run_once();
     });
+    if (limits.budget == nullptr)
+        return;
+    loop_.every(PROGRESS_PERIOD, [this, alive = std::weak_ptr(alive_)] {
+        if (!alive.expired())
+            close_stalled_connections();
+    });
 }
 
 http_server::impl::~impl() {
@@ -169,7 +285,7 @@
 std::shared_ptr<exchange_state>*
 http_server::impl::begin_request(MHD_Connection* connection, const char* url,
                                  const char* method) {
-    auto exchange = std::make_shared<exchange_state>();
+    auto exchange = std::make_shared<exchange_state>(limits_.budget);
     exchange->connection = connection;
     exchange->request.method = method;
     exchange->request.path = url;
@@ -195,10 +311,24 @@
     auto* server = static_cast<impl*>(self);
     if (*state == nullptr) {
         server->idle_connections_.erase(connection);
-        *state = server->begin_request(connection, url, method);
-        return MHD_YES;
+        server->connections_[connection].progress.reset();
+        auto* begun = server->begin_request(connection, url, method);
+        *state = begun;
+        const int refusal = server->check_declared(connection, **begun);
+        if (refusal == 0)
+            return MHD_YES;
+        server->note_refusal(connection, refusal);
+        // The library closes the connection without reading the body.
+        return queue_response(connection,
+                              refusal == 413 ? too_large_response()
+                                             : over_budget_response(),
+                              true);
     }
     auto& exchange = *static_cast<std::shared_ptr<exchange_state>*>(*state);
+    if (*data_size > 0 && server->limits_.budget != nullptr) {
+        const size_t size = std::exchange(*data_size, 0);
+        return server->receive(*exchange, data, size);
+    }
     if (*data_size > 0) {
         std::string& received = exchange->request.body;
         if (received.size() + *data_size > server->limits_.body_bytes)
@@ -211,16 +341,86 @@
     if (exchange->answered)
         return queue_response(connection, exchange->response, server->draining);
     if (exchange->body_too_large)
-        return queue_response(
-            connection,
-            {.status = 413,
-             .body = R"({"type":"urn:rattanknot:too-large","status":413})"
-                     "\n",
-             .content_type = "application/problem+json"},
-            true);
+        return queue_response(connection, too_large_response(), true);
     return server->dispatch(exchange);
 }
 
+int http_server::impl::check_declared(MHD_Connection* connection,
+                                      exchange_state& exchange) {
+    if (limits_.budget == nullptr)
+        return 0;
+    const size_t declared = declared_length(connection);
+    if (declared > limits_.body_bytes)
+        return 413;
+    return exchange.claim.reserve(exchange.request.body, declared) ? 0 : 503;
+}
+
+MHD_Result http_server::impl::receive(exchange_state& exchange,
+                                      const char* data, size_t size) {
+    if (exchange.refused)
+        return MHD_NO;
+    std::string& body = exchange.request.body;
+    int refusal = 0;
+    if (body.size() + size > limits_.body_bytes)
+        refusal = 413;
+    else if (!exchange.claim.append(body, data, size, limits_.body_bytes))
+        refusal = 503;
+    else
+        return MHD_YES;
+    exchange.refused = true;
+    std::string().swap(body);
+    exchange.claim.shrink(0);
+    note_refusal(exchange.connection, refusal);
+    // The library takes no response until the body has been read, which may
+    // never happen. It has sent none either, so this one is the first.
+    const std::string response = encode_last_response(
+        refusal == 413 ? too_large_response() : over_budget_response());
+    send(socket_of(exchange.connection), response.data(), response.size(),
+         MSG_DONTWAIT | MSG_NOSIGNAL);
+    return MHD_NO;
+}
+
+void http_server::impl::note_refusal(MHD_Connection* connection, int status) {
+    connections_[connection].refused = true;
+    if (status == 503)
+        refused_at_ = event_loop::now();
+    count(status == 413 ? "refused_body_too_large" : "refused_over_budget");
+}
+
+void http_server::impl::close_stalled_connections() {
+    const bool scarce = connections_.size() * SCARCE_DENOMINATOR >=
+                        limits_.connections * SCARCE_NUMERATOR;
+    const bool need = scarce || event_loop::now() - refused_at_ < NEED_TIME;
+    const unsigned max_periods =
+        need ? MAX_SLOW_PERIODS_IN_NEED : MAX_SLOW_PERIODS;
+    const bool at_limit = connections_.size() >= limits_.connections;
+    if (at_limit)
+        count("seconds_at_connection_limit");
+    bool closed = false;
+    for (auto& [connection, state] : connections_) {
+        const int handle = socket_of(connection);
+        state.progress.check(tcp_bytes_moved(handle));
+        const bool silent =
+            idle_connections_.contains(connection) && !state.progress.moved();
+        if (state.suspended || (silent && !need))
+            state.progress.reset();
+        // A client may keep its connection between two requests until the
+        // idle timeout, unless nobody else can connect.
+        const bool kept = silent && state.served;
+        if (state.progress.slow_periods() <
+            (kept ? MAX_IDLE_PERIODS_AT_LIMIT : max_periods))
+            continue;
+        if (kept && !at_limit)
+            continue;
+        // The library sees the end of the connection and closes it.
+        shutdown(handle, SHUT_RDWR);
+        count("closed_without_progress");
+        closed = true;
+    }
+    if (closed)
+        schedule_run();
+}
+
 MHD_Result
 http_server::impl::dispatch(const std::shared_ptr<exchange_state>& exchange) {
     exchange->dispatched = true;
@@ -235,14 +435,20 @@
             return;
         exchange->suspended = false;
         suspended_.erase(exchange.get());
+        connections_[exchange->connection].suspended = false;
         MHD_resume_connection(exchange->connection);
         schedule_run();
     });
+    // The handler has copied what it needs. The claim remains until the
+    // request is completed, for the copies.
+    if (limits_.budget != nullptr)
+        exchange->request = {};
     if (exchange->answered)
         return queue_response(exchange->connection, exchange->response,
                               draining);
     exchange->suspended = true;
     suspended_.insert(exchange.get());
+    connections_[exchange->connection].suspended = true;
     MHD_suspend_connection(exchange->connection);
     return MHD_YES;
 }
@@ -270,11 +476,16 @@
 void http_server::impl::on_connection(void* self, MHD_Connection* connection,
                                       void**,
                                       MHD_ConnectionNotificationCode code) {
-    auto& idle = static_cast<impl*>(self)->idle_connections_;
-    if (code == MHD_CONNECTION_NOTIFY_STARTED)
-        idle.insert(connection);
-    else
-        idle.erase(connection);
+    auto* server = static_cast<impl*>(self);
+    if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+        server->idle_connections_.insert(connection);
+        server->connections_[connection] = {};
+        return;
+    }
+    server->idle_connections_.erase(connection);
+    if (server->connections_[connection].refused)
+        server->lingering_.add(socket_of(connection));
+    server->connections_.erase(connection);
 }
 
 void http_server::impl::close_idle_connections() {
@@ -286,14 +497,20 @@
 
 void http_server::impl::on_completed(void* self, MHD_Connection* connection,
                                      void** state, MHD_RequestTerminationCode) {
-    static_cast<impl*>(self)->idle_connections_.insert(connection);
+    auto* server = static_cast<impl*>(self);
+    server->idle_connections_.insert(connection);
+    connection_state& at = server->connections_[connection];
+    at.served = true;
+    at.suspended = false;
+    at.progress.reset();
     if (*state == nullptr)
         return;
     auto* exchange = static_cast<std::shared_ptr<exchange_state>*>(*state);
     (*exchange)->completed = true;
-    static_cast<impl*>(self)->suspended_.erase(exchange->get());
+    (*exchange)->claim.shrink(0);
+    server->suspended_.erase(exchange->get());
     if ((*exchange)->dispatched)
-        --static_cast<impl*>(self)->in_flight;
+        --server->in_flight;
     delete exchange;
     *state = nullptr;
 }
@@ -304,6 +521,10 @@
 
 http_server::~http_server() = default;
 
+void http_server::set_body_limit(size_t bytes) {
+    impl_->set_body_limit(bytes);
+}
+
 void http_server::drain() {
     impl_->draining = true;
 }
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -1,6 +1,8 @@
 /** @file HTTP server, based on libmicrohttpd. */
 #pragma once
 
+#include "base/metrics_base.hpp"
+#include "net/caller_budget.hpp"
 #include "net/event_loop.hpp"
 #include "net/http_type.hpp"
 
@@ -20,6 +22,17 @@
     size_t connection_bytes = 32U << 10U; ///< Memory for headers and fields.
     /** Names of the headers to copy into `http_request::headers`. */
     std::vector<std::string> captured_headers;
+    /**
+     * Budget of the bodies that are received or processed. With a budget, a
+     * body over `body_bytes` is refused before it is read, a request over the
+     * budget gets 503, and connections without progress are closed. Must
+     * outlive the server and the responders of its requests.
+     */
+    caller_budget* budget = nullptr;
+    int receive_buffer_bytes = 0; ///< Of a socket; 0: the kernel's default.
+    int send_buffer_bytes = 0;    ///< Of a socket; 0: the kernel's default.
+    unsigned backlog = 0; ///< Connections not yet accepted; 0: the default.
+    metrics_registry* metrics = nullptr; ///< Counts what is refused.
 };
 
 /** Listens on an address and passes each complete request to a handler. */
@@ -39,6 +52,9 @@
     http_server(const http_server&) = delete;
     http_server& operator=(const http_server&) = delete;
 
+    /** Sets `http_limits::body_bytes` for requests that begin later. */
+    void set_body_limit(size_t bytes);
+
     /** From now on closes each connection after its response. */
     void drain();
 
--- a/src/net/rpc_client.cpp
+++ b/src/net/rpc_client.cpp
@@ -18,8 +18,9 @@
 } // namespace
 
 rpc_client::rpc_client(event_loop& loop, std::string address,
-                       timeout_policy timeouts)
+                       timeout_policy timeouts, const rpc_limits& limits)
     : loop_(loop), address_(std::move(address)), timeout_policy_(timeouts),
+      limits_(limits),
       jitter_(std::hash<std::string>()(address_) + std::random_device()()) {}
 
 rpc_client::~rpc_client() {
@@ -114,7 +115,7 @@
     backoff_ = millis(0);
     connection_ = std::make_unique<rpc_connection>(
         loop_, [this](const std::string& frame) { handle_frame(frame); },
-        [this] { on_closed(); });
+        [this] { on_closed(); }, limits_);
     connection_->open(handle);
     const auto waiting = std::exchange(unsent_, {});
     for (const auto& [id, frame] : waiting)
--- a/src/net/rpc_client.hpp
+++ b/src/net/rpc_client.hpp
@@ -51,7 +51,8 @@
 
     /** @param address IP and port of the peer. */
     rpc_client(event_loop& loop, std::string address,
-               timeout_policy timeouts = timeout_policy::keep_connection);
+               timeout_policy timeouts = timeout_policy::keep_connection,
+               const rpc_limits& limits = {});
     ~rpc_client() override;
 
     /**
@@ -102,6 +103,7 @@
     event_loop& loop_;
     std::string address_;
     timeout_policy timeout_policy_;
+    rpc_limits limits_;
     std::unique_ptr<rpc_connection> connection_;
     ACE_HANDLE connecting_ = ACE_INVALID_HANDLE; ///< Of a pending attempt.
     mono_time next_attempt_{};
--- a/src/net/rpc_server.cpp
+++ b/src/net/rpc_server.cpp
@@ -9,17 +9,35 @@
 namespace {
 
 constexpr int LISTEN_BACKLOG = 128;
-constexpr size_t MAX_CONNECTIONS = 512; ///< Further ones are closed at once.
+/** Period at which the progress of connections is checked. */
+constexpr millis PROGRESS_PERIOD{1000};
+/** A connection is closed after this number of periods without progress. */
+constexpr unsigned MAX_SLOW_PERIODS = 8;
+/** The same while the budget or the connections are scarce. */
+constexpr unsigned MAX_SLOW_PERIODS_IN_NEED = 2;
 
 } // namespace
 
-rpc_server::rpc_server(event_loop& loop, const std::string& address)
-    : loop_(loop) {
+rpc_server::rpc_server(event_loop& loop, const std::string& address,
+                       const rpc_limits& limits)
+    : loop_(loop), limits_(limits) {
     const ACE_INET_Addr local(address.c_str());
     if (acceptor_.open(local, 1, PF_INET, LISTEN_BACKLOG) != 0)
         throw system_error("can't listen on " + address);
     acceptor_.enable(ACE_NONBLOCK);
+    // Accepted sockets inherit the sizes of the listening socket.
+    int bytes = limits_.socket_buffer_bytes;
+    if (bytes > 0) {
+        acceptor_.set_option(SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
+        acceptor_.set_option(SOL_SOCKET, SO_SNDBUF, &bytes, sizeof bytes);
+    }
     loop_.reactor().register_handler(this, ACE_Event_Handler::ACCEPT_MASK);
+    if (limits_.budget == nullptr)
+        return;
+    loop_.every(PROGRESS_PERIOD, [this, alive = std::weak_ptr(alive_)] {
+        if (!alive.expired())
+            close_stalled_connections();
+    });
 }
 
 rpc_server::~rpc_server() {
@@ -36,7 +54,8 @@
     ACE_SOCK_Stream peer;
     if (acceptor_.accept(peer) != 0)
         return 0;
-    if (connections_.size() >= MAX_CONNECTIONS) {
+    if (connections_.size() >= limits_.connections) {
+        limits_.count("rpc_connections_refused");
         peer.close();
         return 0;
     }
@@ -44,12 +63,25 @@
     auto stream = std::make_unique<rpc_connection>(
         loop_,
         [this, id](const std::string& frame) { handle_frame(id, frame); },
-        [this, id] { connections_.erase(id); });
+        [this, id] { connections_.erase(id); }, limits_);
     stream->open(peer.get_handle());
     connections_[id] = std::move(stream);
     return 0;
 }
 
+void rpc_server::close_stalled_connections() {
+    const bool need = connections_.size() >= limits_.connections / 4 * 3 ||
+                      (limits_.budget->limit() > 0 &&
+                       limits_.budget->used() >= limits_.budget->limit() / 2);
+    for (auto& [id, connection] : connections_) {
+        if (connection->check_progress() <
+            (need ? MAX_SLOW_PERIODS_IN_NEED : MAX_SLOW_PERIODS))
+            continue;
+        limits_.count("rpc_without_progress");
+        connection->fail();
+    }
+}
+
 void rpc_server::handle_frame(std::uint64_t connection,
                               const std::string& frame) {
     wire::envelope request;
--- a/src/net/rpc_server.hpp
+++ b/src/net/rpc_server.hpp
@@ -29,7 +29,8 @@
      * @param address IP and port, as in `127.0.0.1:7000`.
      * @throw system_error if the server can't listen on the address.
      */
-    rpc_server(event_loop& loop, const std::string& address);
+    rpc_server(event_loop& loop, const std::string& address,
+               const rpc_limits& limits = {});
     ~rpc_server() override;
 
     /** Sets the handler of a method. */
@@ -42,7 +43,11 @@
     /** Decodes one call and passes it to its handler. */
     void handle_frame(std::uint64_t connection, const std::string& frame);
 
+    /** Closes connections on which too few bytes move. */
+    void close_stalled_connections();
+
     event_loop& loop_;
+    rpc_limits limits_;
     ACE_SOCK_Acceptor acceptor_;
     std::map<wire::method::type, handler> handlers_;
     std::map<std::uint64_t, std::unique_ptr<rpc_connection>> connections_;
