Entry host: size socket buffers and shares for the smallest host

Cause: the kernel's buffers of peers, targets and health checks were not part of the sum, and buffers that grew could need twice their limit of the budget, so that a single answer or frame of permitted size could be refused.

Change: the shares count the kernel's buffers of all connections that others can fill. An answer with a declared length is reserved at once. A growing buffer takes its last step to the limit.

--- a/src/front/front_service.cpp
+++ b/src/front/front_service.cpp
@@ -67,12 +67,13 @@
           divide_resources(settings.memory_bytes, settings.max_descriptors)),
       body_budget_(shares_.bodies), answer_budget_(shares_.answers),
       peer_budget_(shares_.peers),
-      http_(loop, {.connections = static_cast<long>(shares_.target_connections),
-                   .response_bytes = shares_.target_answer,
-                   .budget = &answer_budget_,
-                   .receive_buffer_bytes =
-                       settings.memory_bytes > 0 ? RECEIVE_BUFFER_BYTES : 0,
-                   .metrics = &metrics_}),
+      http_(loop,
+            {.connections = static_cast<long>(shares_.target_connections),
+             .response_bytes = shares_.target_answer,
+             .budget = &answer_budget_,
+             .receive_buffer_bytes =
+                 settings.memory_bytes > 0 ? TARGET_RECEIVE_BUFFER_BYTES : 0,
+             .metrics = &metrics_}),
       store_http_(
           loop, {.connections_per_server =
                      static_cast<long>(shares_.store_connections),
@@ -154,12 +155,15 @@
 }
 
 rpc_limits front_service::peer_limits() {
-    return {.connections = shares_.peer_connections,
-            .frame_bytes = shares_.peer_frame,
-            .budget = &peer_budget_,
-            .socket_buffer_bytes =
-                settings_.memory_bytes > 0 ? RECEIVE_BUFFER_BYTES : 0,
-            .metrics = &metrics_};
+    rpc_limits limits{.connections = shares_.peer_connections,
+                      .frame_bytes = shares_.peer_frame,
+                      .budget = &peer_budget_,
+                      .metrics = &metrics_};
+    if (settings_.memory_bytes > 0) {
+        limits.receive_buffer_bytes = RECEIVE_BUFFER_BYTES;
+        limits.send_buffer_bytes = SEND_BUFFER_BYTES;
+    }
+    return limits;
 }
 
 void front_service::start() {
--- a/src/net/budget_claim.cpp
+++ b/src/net/budget_claim.cpp
@@ -38,8 +38,12 @@
                           std::size_t free_bytes) {
     const std::size_t needed = buffer.size() + size;
     if (needed > buffer.capacity()) {
-        std::size_t capacity = std::max(
-            {needed, MIN_CAPACITY, std::min(needed + needed / 2, max_bytes)});
+        // The last step goes to the limit, so that the old and the new buffer
+        // never take more than 1.75 times the limit together.
+        std::size_t capacity =
+            max_bytes <= 2 * needed
+                ? std::max(needed, max_bytes)
+                : std::max(needed + needed / 2, MIN_CAPACITY);
         if (needed <= free_bytes)
             capacity = std::min(capacity, free_bytes);
         const std::size_t counted =
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -30,6 +30,7 @@
     const http_client_limits& limits;
     budget_claim claim; ///< Counts the capacity of the response's body.
     size_t header_bytes = 0;
+    CURL* easy = nullptr;
     http_call call;
     http_client::callback done;
     http_call_result answer;
@@ -54,6 +55,16 @@
         state->count("answers_too_large");
         return 0;
     }
+    curl_off_t declared = -1;
+    if (body.empty())
+        curl_easy_getinfo(state->easy, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T,
+                          &declared);
+    // Growing takes more of the budget than the declared size.
+    if (declared > 0 && static_cast<size_t>(declared) <= limit &&
+        !state->claim.reserve(body, static_cast<size_t>(declared))) {
+        state->count("answers_over_budget");
+        return 0;
+    }
     if (!state->claim.append(body, data, bytes, limit)) {
         state->count("answers_over_budget");
         return 0;
@@ -297,6 +308,7 @@
         curl_easy_reset(easy);
     }
     auto state = std::make_unique<transfer>(limits_);
+    state->easy = easy;
     state->call = call;
     state->done = std::move(done);
     set_options(easy, *state);
--- a/src/net/resource_shares.cpp
+++ b/src/net/resource_shares.cpp
@@ -15,7 +15,9 @@
 /** A host of this memory has one more connection of a peer. */
 constexpr std::size_t MEMORY_PER_PEER = 640U << 10U;
 /** The same for connections to targets. */
-constexpr std::size_t MEMORY_PER_TARGET_CONNECTION = 480U << 10U;
+constexpr std::size_t MEMORY_PER_TARGET_CONNECTION = 256U << 10U;
+/** The same for connections of health checks and for metrics. */
+constexpr std::size_t MEMORY_PER_CHECK = 10 * MEGABYTE;
 /**
  * The owner has a long poll pending on each partition of jobs and four others,
  * besides appends and loads.
@@ -51,8 +53,14 @@
     shares.store_answer =
         std::clamp(memory_bytes / 20, MIN_SHARE / 4 * 3, MAX_ANSWER);
     // Decoded JSON may take some twenty times the size of its text.
-    shares.target_answer = std::clamp(memory_bytes / 160, MEGABYTE, MAX_ANSWER);
-    shares.peer_frame = std::min(shares.peers / 2, MAX_FRAME);
+    shares.target_answer =
+        std::clamp(memory_bytes / 320, MEGABYTE / 2, MAX_ANSWER);
+    // While a buffer grows, its old and its new part count.
+    shares.peer_frame = std::min(shares.peers / 5 * 2, MAX_FRAME);
+    shares.readiness =
+        std::min(shares.readiness,
+                 std::max<std::size_t>(memory_bytes / MEMORY_PER_CHECK, 8));
+    shares.metrics = std::min(shares.metrics, shares.readiness);
     shares.clients = std::min(
         shares.clients,
         std::max<std::size_t>(memory_bytes * 7 / 32 / CONNECTION_BYTES, 16));
--- a/src/net/resource_shares.hpp
+++ b/src/net/resource_shares.hpp
@@ -32,6 +32,8 @@
 /** Sizes of the kernel's buffers of a connection, which doubles them. */
 constexpr int RECEIVE_BUFFER_BYTES = 16 << 10;
 constexpr int SEND_BUFFER_BYTES = 8 << 10;
+/** Targets send short answers over many connections. */
+constexpr int TARGET_RECEIVE_BUFFER_BYTES = 8 << 10;
 /** The store sends more than others, over few connections. */
 constexpr int STORE_RECEIVE_BUFFER_BYTES = 64 << 10;
 /** Connections that the kernel accepts before the process does. */
--- a/src/net/rpc_limits.hpp
+++ b/src/net/rpc_limits.hpp
@@ -18,7 +18,8 @@
      * without progress are closed.
      */
     const caller_budget* budget = nullptr;
-    int socket_buffer_bytes = 0;         ///< Of each direction; 0: the default.
+    int receive_buffer_bytes = 0; ///< Of a socket; 0: the kernel's default.
+    int send_buffer_bytes = 0;    ///< Of a socket; 0: the kernel's default.
     metrics_registry* metrics = nullptr; ///< Counts what is refused.
 
     /** Increments a counter, if there are metrics. */
--- a/src/net/rpc_server.cpp
+++ b/src/net/rpc_server.cpp
@@ -26,11 +26,12 @@
         throw system_error("can't listen on " + address);
     acceptor_.enable(ACE_NONBLOCK);
     // Accepted sockets inherit the sizes of the listening socket.
-    int bytes = limits_.socket_buffer_bytes;
-    if (bytes > 0) {
-        acceptor_.set_option(SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
-        acceptor_.set_option(SOL_SOCKET, SO_SNDBUF, &bytes, sizeof bytes);
-    }
+    if (limits_.receive_buffer_bytes > 0)
+        acceptor_.set_option(SOL_SOCKET, SO_RCVBUF,
+                             &limits_.receive_buffer_bytes, sizeof(int));
+    if (limits_.send_buffer_bytes > 0)
+        acceptor_.set_option(SOL_SOCKET, SO_SNDBUF, &limits_.send_buffer_bytes,
+                             sizeof(int));
     loop_.reactor().register_handler(this, ACE_Event_Handler::ACCEPT_MASK);
     if (limits_.budget == nullptr)
         return;
--- a/tests/caller_budget_test.cpp
+++ b/tests/caller_budget_test.cpp
@@ -136,7 +136,9 @@
 TEST(resource_shares, fit_into_the_smallest_host) {
     const resource_shares shares = divide_resources(160 * MEGABYTE, 4100);
     EXPECT_LE(shares.bodies * 4 + shares.answers + shares.store_answer * 2 +
-                  shares.peers + shares.clients * CONNECTION_BYTES,
+                  shares.peers +
+                  (shares.clients + shares.readiness + shares.metrics) *
+                      CONNECTION_BYTES,
               160 * MEGABYTE * 3 / 4);
     EXPECT_GE(shares.bodies, 16U * 262'144);
     EXPECT_GE(shares.clients, 350U);
