Advice: ask about a quick step while its predecessors run (scheduling.advice=ahead)

Change: once all tasks of a step are placed, the steps that depend on it are asked about, with a renewal before the tickets expire, four calls at most, and only while over a third of the hosts for quick calls is idle. Slow queues ask on demand as before. /dump shows the number of calls ahead.

--- a/src/dispatch/advice_table.cpp
+++ b/src/dispatch/advice_table.cpp
@@ -99,6 +99,19 @@
     return best;
 }
 
+bool advice_table::has_spare_host(mono_time now) const {
+    constexpr int SPARE_HOST_DIVISOR = 3;
+    int able = 0;
+    int spare = 0;
+    for (const advice_host& entry : hosts_) {
+        if (entry.unavailable_until > now || entry.has_slow_call)
+            continue;
+        ++able;
+        spare += entry.pending_calls == 0 ? 1 : 0;
+    }
+    return spare * SPARE_HOST_DIVISOR > able;
+}
+
 std::optional<host_id> advice_table::acquire_host(millis duration,
                                                   mono_time now) {
     advice_host* best = find_host(duration, now);
--- a/src/dispatch/advice_table.hpp
+++ b/src/dispatch/advice_table.hpp
@@ -32,6 +32,7 @@
     bool call_pending = false;
     queue_id queue;       ///< Queue that the pending call is for.
     mono_time retry_at{}; ///< Back-off after a failed call.
+    int calls_ahead = 0;  ///< Made before the step was ready.
 
     /** The ticket of a target if it is valid at `now`, or null. */
     [[nodiscard]] const ticket* valid_ticket(const target_id& target,
@@ -71,6 +72,13 @@
         return find_host(duration, now) != nullptr;
     }
 
+    /**
+     * Tells whether more than a third of the hosts that may take quick calls
+     * have none. Calls ahead of need use only these hosts, so that calls that
+     * steps wait for are not delayed.
+     */
+    [[nodiscard]] bool has_spare_host(mono_time now) const;
+
     /**
      * Assigns a host to a call of the given duration; nothing if all are busy.
      */
--- a/src/dispatch/owner_base.cpp
+++ b/src/dispatch/owner_base.cpp
@@ -312,6 +312,9 @@
         if (!target.responsive)
             expire_runs(target, clock);
     give_up_convicted(clock);
+    // Tickets for steps that are not ready have to be renewed in time.
+    if (!ahead_.empty() && clock.now >= next_look_ahead_)
+        schedule_due_ = true;
     if (schedule_due_ && clock.now >= next_schedule_) {
         schedule_due_ = false;
         placed_in_tick_ = true;
@@ -403,6 +406,7 @@
     return nlohmann::json({{"epoch", settings_.epoch},
                            {"live_jobs", live_jobs_.size()},
                            {"jobs", jobs_.all().size()},
+                           {"calls_ahead", calls_ahead_},
                            {"targets", targets}})
         .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
--- a/src/dispatch/owner_base.hpp
+++ b/src/dispatch/owner_base.hpp
@@ -333,7 +333,26 @@
     void give_up_convicted(const owner_clock& clock);
     [[nodiscard]] resources remaining_quota(const runnable_step& step) const;
     [[nodiscard]] resources remaining_quota(const organisation_id& name) const;
-    void request_advice(const runnable_step& step, const owner_clock& clock);
+    /**
+     * Asks for advice about a step if a host may call.
+     * @param usable_until Tickets that expire sooner are asked for again.
+     * @return True if a call was sent.
+     */
+    bool request_advice(const runnable_step& step, const owner_clock& clock,
+                        mono_time usable_until);
+
+    // owner_ahead.cpp
+    /** All tasks of a step are placed: those that depend on it may follow. */
+    void note_step_placed(const runnable_step& step);
+    /** Asks for advice about steps whose predecessors run. */
+    void ask_ahead(const owner_clock& clock);
+    /** @return False if no step of the repeat waits for running tasks only. */
+    bool ask_ahead(const job_entry& job, std::int32_t repeat,
+                   const queue_config& queue, const owner_clock& clock);
+    /** Tasks that targets have room for whose tickets last that long. */
+    [[nodiscard]] std::int32_t slots_with_tickets(const runnable_step& step,
+                                                  mono_time usable_until);
+
     void send_starts(const owner_clock& clock);
     void send_start(target_state& target, const task_id& task, run_entry& run,
                     const owner_clock& clock);
@@ -530,6 +549,10 @@
     job_table jobs_;
     target_table targets_;
     advice_table advice_;
+    /** Repeats with a step to ask about before it is ready. */
+    std::set<std::pair<job_id, std::int32_t>> ahead_;
+    mono_time next_look_ahead_{};
+    std::int64_t calls_ahead_ = 0; ///< Sent since the start.
     crash_suspects suspects_;
     speed_table speeds_;
     /** Stragglers for which the next placement round seeks room. */
--- a/src/dispatch/owner_copies.cpp
+++ b/src/dispatch/owner_copies.cpp
@@ -103,7 +103,7 @@
         // The tickets of the step may have expired.
         if (queue->advice) {
             copies_wanted_.insert(task);
-            request_advice(step, clock);
+            request_advice(step, clock, clock.now);
         }
         return;
     }
--- a/src/dispatch/owner_place.cpp
+++ b/src/dispatch/owner_place.cpp
@@ -175,6 +175,8 @@
                     .fits_in(largest_free_))
                 place_step(step, clock);
     place_copies(steps, clock);
+    if (settings_.scheduling.advice_ahead)
+        ask_ahead(clock);
     if (suspects_.has_waiting()) {
         schedule_due_ = true;
         next_schedule_ = std::max(next_schedule_, clock.now + SUSPECT_PERIOD);
@@ -318,8 +320,12 @@
         if (suspects)
             place_suspects(step, candidates, clock);
     }
-    if (step.queue->advice && jobs_.find(step.ref)->waiting > 0)
-        request_advice(step, clock);
+    if (!step.queue->advice)
+        return;
+    if (jobs_.find(step.ref)->waiting > 0)
+        request_advice(step, clock, clock.now);
+    else if (settings_.scheduling.advice_ahead)
+        note_step_placed(step);
 }
 
 std::vector<target_state*> owner::candidate_targets(const runnable_step& step,
@@ -428,14 +434,14 @@
     unstored_runs_.emplace_back(target.entry.id, task);
 }
 
-void owner::request_advice(const runnable_step& step,
-                           const owner_clock& clock) {
+bool owner::request_advice(const runnable_step& step, const owner_clock& clock,
+                           mono_time usable_until) {
     step_advice& advice = advice_.for_step(step.ref);
     const millis shortest = advice_call_duration(*step.queue->advice, 1);
     if (advice.call_pending || clock.now < advice.retry_at ||
         !advice_.within_share(step.queue->name, shortest) ||
         !advice_.has_host(shortest, clock.now))
-        return;
+        return false;
     const bool slow =
         step.queue->advice->decide_ms >=
         static_cast<double>(advice_table::SLOW_CALL_THRESHOLD.count());
@@ -457,7 +463,7 @@
         const target_id& id = target->entry.id;
         if (slots <= 0 || !matches_constraints(step, *target) ||
             advice.ineligible.contains(id) ||
-            advice.valid_ticket(id, clock.now) != nullptr)
+            advice.valid_ticket(id, usable_until) != nullptr)
             continue;
         const int rank = advice_rank(preference, *target);
         preferred_slots += rank == 0 ? slots : 0;
@@ -468,7 +474,7 @@
                               .name = id.value});
     }
     if (candidates.empty())
-        return;
+        return false;
     const double needed =
         ask_factor * static_cast<double>(jobs_.find(step.ref)->waiting);
     if (preferred_slots < needed)
@@ -493,11 +499,12 @@
         advice_call_duration(*step.queue->advice, target_names.size());
     const auto host = advice_.acquire_host(duration, clock.now);
     if (!host)
-        return;
+        return false;
     advice_.asked(step.ref, step.queue->name,
                   {target_names.begin(), target_names.end()});
     output_.ask_advice(*host, step.ref, target_names,
                        duration + ADVICE_TIMEOUT_MARGIN);
+    return true;
 }
 
 void owner::advice_answered(const host_id& host, const step_ref& step,
