Names: terms of the field for the order, gangs and slow connections

Cause: reading the new code showed names that need a second reading (GANG_PATIENCE, judge_inherited_rates, worthless, need). Measured: builds; the unit tests of the renamed parts pass.

--- a/src/dispatch/owner_base.hpp
+++ b/src/dispatch/owner_base.hpp
@@ -267,7 +267,7 @@
     /** Counts a job towards its organisation's rate over `rate_window`. */
     [[nodiscard]] bool within_rate(const job_record& record);
     /** Judges the jobs of an earlier owner in the order of acceptance. */
-    void judge_inherited_rates();
+    void classify_inherited_jobs();
     [[nodiscard]] std::vector<runnable_step>
     steps_by_delay_cost(const owner_clock& clock) const;
     void add_runnable_steps(const job_entry& job, const owner_clock& clock,
--- a/src/dispatch/owner_gang.cpp
+++ b/src/dispatch/owner_gang.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 /** A gang that has waited for so long is held room for. */
-constexpr millis GANG_PATIENCE{500};
+constexpr millis MIN_GANG_WAIT{500};
 /**
  * Targets are held for so long, then for as long not. Tasks of 3 to 5 s end
  * meanwhile on half of the targets.
@@ -48,7 +48,7 @@
     const bool holds = gang_hold_ && gang_hold_->gang == step.ref;
     if ((!holds && (gang_hold_ || clock.now < next_gang_hold_)) ||
         step.order_class > work_class::late ||
-        clock.now - jobs_.find(step.ref)->ready_since < GANG_PATIENCE ||
+        clock.now - jobs_.find(step.ref)->ready_since < MIN_GANG_WAIT ||
         !(step.spec->demand * step.spec->count).fits_in(remaining_quota(step)))
         return;
     if (!holds && ++gang_hold_attempts_ > MAX_HOLD_ATTEMPTS)
@@ -116,7 +116,7 @@
         !gang_hold_->targets.contains(target.entry.id))
         return false;
     const auto remaining = gang_hold_->since + GANG_HOLD - clock.now;
-    return step.order_class == work_class::worthless ||
+    return step.order_class == work_class::no_value ||
            step.slack >= remaining + SLACK_MARGIN;
 }
 
--- a/src/dispatch/owner_order.cpp
+++ b/src/dispatch/owner_order.cpp
@@ -80,11 +80,11 @@
                  settings_.rate_slack_jobs});
 }
 
-void owner::judge_inherited_rates() {
+void owner::classify_inherited_jobs() {
     std::vector<job_entry*> jobs;
     for (const job_id& id : live_jobs_)
         jobs.push_back(jobs_.find(id));
-    // The jobs are read in any order; judged in that order, the later ones
+    // The jobs are read in any order; counted in that order, the later ones
     // would count as a burst.
     std::stable_sort(jobs.begin(), jobs.end(),
                      [](const job_entry* a, const job_entry* b) {
@@ -164,7 +164,7 @@
                 continue;
             work_input input{.priority = queue->priority,
                              .until_objective = objective - age,
-                             .until_worthless =
+                             .until_no_value =
                                  objective * WORTHLESS_MULTIPLE - age,
                              .expected = estimate.remaining[s],
                              .remaining_work = remaining_work,
@@ -176,20 +176,20 @@
             // A step without an end has no objective.
             if (spec.steps[s].long_lived) {
                 input.until_objective = objective;
-                input.until_worthless = objective * WORTHLESS_MULTIPLE;
+                input.until_no_value = objective * WORTHLESS_MULTIPLE;
                 input.expected = millis(0);
             }
             keys.push_back(settings_.work_order(input));
             const millis next_loss = input.expected <= input.until_objective
                                          ? input.until_objective
-                                         : input.until_worthless;
+                                         : input.until_no_value;
             steps.push_back(
                 {.ref = {job.record.id, number, static_cast<std::int32_t>(s)},
                  .priority = queue->priority,
                  .over_rate = job.over_rate,
-                 .lateness = input.expected <= input.until_objective   ? 0
-                             : input.expected <= input.until_worthless ? 1
-                                                                       : 2,
+                 .lateness = input.expected <= input.until_objective  ? 0
+                             : input.expected <= input.until_no_value ? 1
+                                                                      : 2,
                  .due_ms = start_ms + objective.count(),
                  .remaining = estimate.remaining[s],
                  .spec = &spec.steps[s],
--- a/src/dispatch/owner_takeover.cpp
+++ b/src/dispatch/owner_takeover.cpp
@@ -13,7 +13,7 @@
         inherit_leftover_runs(job, clock);
     apply_handover();
     if (settings_.scheduling.order_by_delay_cost)
-        judge_inherited_rates();
+        classify_inherited_jobs();
     schedule_due_ = true;
 }
 
--- a/src/dispatch/work_order.cpp
+++ b/src/dispatch/work_order.cpp
@@ -28,7 +28,7 @@
 std::int64_t waiting_factor(const work_input& input) {
     // Three times the objective minus the objective is twice the objective.
     const std::int64_t objective = std::clamp<std::int64_t>(
-        (input.until_worthless - input.until_objective).count() / 2, 1, MAX_MS);
+        (input.until_no_value - input.until_objective).count() / 2, 1, MAX_MS);
     const std::int64_t waited = std::clamp<std::int64_t>(
         objective - input.until_objective.count(), 0, MAX_MS);
     return 1000 + std::min<std::int64_t>(3000, 1000 * waited / objective);
@@ -44,16 +44,16 @@
         return "late";
     case work_class::beyond_rate:
         return "beyond_rate";
-    case work_class::worthless:
-        return "worthless";
+    case work_class::no_value:
+        return "no_value";
     }
     return "";
 }
 
 work_class classify(const work_input& input) {
     // Work counts as without value only if it is so at half of the estimate.
-    if (input.until_worthless < input.expected / ESTIMATE_FACTOR)
-        return work_class::worthless;
+    if (input.until_no_value < input.expected / ESTIMATE_FACTOR)
+        return work_class::no_value;
     if (input.over_rate)
         return work_class::beyond_rate;
     return input.expected <= input.until_objective ? work_class::in_time
--- a/src/dispatch/work_order.hpp
+++ b/src/dispatch/work_order.hpp
@@ -14,7 +14,7 @@
     in_time,     ///< Can still meet its objective.
     late,        ///< Cannot, but its result is still of value.
     beyond_rate, ///< Beyond the submission rate of its organisation.
-    worthless,   ///< Its result will be of no value.
+    no_value,    ///< Its result will be of no value.
 };
 constexpr std::size_t WORK_CLASSES = 4;
 
@@ -26,7 +26,7 @@
     /** Until the objective of its job is missed; negative: since then. */
     millis until_objective{0};
     /** Until three times the objective. */
-    millis until_worthless{0};
+    millis until_no_value{0};
     /** Expected time from its start to the end of its job. */
     millis expected{0};
     /** Work of its job that has no capacity yet, in milli-core-milliseconds. */
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -34,14 +34,14 @@
 /** A connection is closed after this number of periods without progress. */
 constexpr unsigned MAX_SLOW_PERIODS = 8;
 /** The same while requests are refused or connections are scarce. */
-constexpr unsigned MAX_SLOW_PERIODS_IN_NEED = 2;
+constexpr unsigned MAX_SLOW_PERIODS_UNDER_PRESSURE = 2;
 /** A client's silent connection is kept this long at the limit. */
 constexpr unsigned MAX_IDLE_PERIODS_AT_LIMIT = 5;
 /** Connections are scarce from three quarters of their limit on. */
 constexpr size_t SCARCE_NUMERATOR = 3;
 constexpr size_t SCARCE_DENOMINATOR = 4;
 /** After a refusal, slow connections are closed early for this time. */
-constexpr millis NEED_TIME{3000};
+constexpr millis PRESSURE_TIME{3000};
 constexpr int RETRY_AFTER_S = 1;
 
 /** State of one request from its headers to the end of its response. */
@@ -390,9 +390,10 @@
 void http_server::impl::close_stalled_connections() {
     const bool scarce = connections_.size() * SCARCE_DENOMINATOR >=
                         limits_.connections * SCARCE_NUMERATOR;
-    const bool need = scarce || event_loop::now() - refused_at_ < NEED_TIME;
+    const bool under_pressure =
+        scarce || event_loop::now() - refused_at_ < PRESSURE_TIME;
     const unsigned max_periods =
-        need ? MAX_SLOW_PERIODS_IN_NEED : MAX_SLOW_PERIODS;
+        under_pressure ? MAX_SLOW_PERIODS_UNDER_PRESSURE : MAX_SLOW_PERIODS;
     const bool at_limit = connections_.size() >= limits_.connections;
     if (at_limit)
         count("seconds_at_connection_limit");
@@ -402,7 +403,7 @@
         state.progress.check(tcp_bytes_moved(handle));
         const bool silent =
             idle_connections_.contains(connection) && !state.progress.moved();
-        if (state.suspended || (silent && !need))
+        if (state.suspended || (silent && !under_pressure))
             state.progress.reset();
         // A client may keep its connection between two requests until the
         // idle timeout, unless nobody else can connect.
--- a/src/net/rpc_server.cpp
+++ b/src/net/rpc_server.cpp
@@ -14,7 +14,7 @@
 /** A connection is closed after this number of periods without progress. */
 constexpr unsigned MAX_SLOW_PERIODS = 8;
 /** The same while the budget or the connections are scarce. */
-constexpr unsigned MAX_SLOW_PERIODS_IN_NEED = 2;
+constexpr unsigned MAX_SLOW_PERIODS_UNDER_PRESSURE = 2;
 
 } // namespace
 
@@ -71,12 +71,14 @@
 }
 
 void rpc_server::close_stalled_connections() {
-    const bool need = connections_.size() >= limits_.connections / 4 * 3 ||
-                      (limits_.budget->limit() > 0 &&
-                       limits_.budget->used() >= limits_.budget->limit() / 2);
+    const bool under_pressure =
+        connections_.size() >= limits_.connections / 4 * 3 ||
+        (limits_.budget->limit() > 0 &&
+         limits_.budget->used() >= limits_.budget->limit() / 2);
     for (auto& [id, connection] : connections_) {
         if (connection->check_progress() <
-            (need ? MAX_SLOW_PERIODS_IN_NEED : MAX_SLOW_PERIODS))
+            (under_pressure ? MAX_SLOW_PERIODS_UNDER_PRESSURE
+                            : MAX_SLOW_PERIODS))
             continue;
         limits_.count("rpc_without_progress");
         connection->fail();
--- a/tests/work_order_test.cpp
+++ b/tests/work_order_test.cpp
@@ -16,7 +16,7 @@
 /** A typical job that has just been accepted, with an objective of 1 s. */
 work_input typical_input() {
     return {.until_objective = millis(1000),
-            .until_worthless = millis(3000),
+            .until_no_value = millis(3000),
             .expected = millis(500),
             .remaining_work = 1'000'000,
             .typical_work = 1'000'000};
@@ -25,7 +25,7 @@
 /** The same after a wait. */
 work_input waited(work_input input, millis wait) {
     input.until_objective -= wait;
-    input.until_worthless -= wait;
+    input.until_no_value -= wait;
     return input;
 }
 
@@ -46,7 +46,7 @@
     EXPECT_EQ(classify(waited(input, millis(501))), work_class::late);
     input.over_rate = true;
     EXPECT_EQ(classify(input), work_class::beyond_rate);
-    EXPECT_EQ(classify(waited(input, millis(2751))), work_class::worthless);
+    EXPECT_EQ(classify(waited(input, millis(2751))), work_class::no_value);
 }
 
 // Estimates may be wrong by a factor of two. Guards against giving up work that
@@ -54,7 +54,7 @@
 TEST(work_order, work_is_worthless_only_at_half_of_its_estimate) {
     const work_input input = typical_input();
     EXPECT_EQ(classify(waited(input, millis(2750))), work_class::late);
-    EXPECT_EQ(classify(waited(input, millis(2751))), work_class::worthless);
+    EXPECT_EQ(classify(waited(input, millis(2751))), work_class::no_value);
 }
 
 TEST(work_order, urgent_queues_go_first_within_a_class) {
@@ -118,7 +118,7 @@
     EXPECT_LT(delay_cost_key(nothing).negative_cost, 0);
     EXPECT_LT(delay_cost_key(huge).negative_cost, 0);
     EXPECT_LT(delay_cost_key(early).negative_cost, 0);
-    EXPECT_EQ(classify(huge), work_class::worthless);
+    EXPECT_EQ(classify(huge), work_class::no_value);
     EXPECT_EQ(classify(early), work_class::in_time);
 }
 
