Owner: bound the answers of the advice service that are kept

Callers saw: nothing yet. Found by reading: for each step with waiting tasks the owner kept every target that the service had named, until the end of the job. A job of 1,000 steps in a cell of 100 targets keeps 100,000 entries, and a job with many repeats keeps the entries of all of them. Cause: nothing counted the entries, and a finished step kept its own. Change: the table counts its targets; beyond a limit it drops the answers about other steps, which are asked for again. A step is forgotten once its tasks are done. A refused ticket no longer adds an entry.

--- a/src/dispatch/advice_table.cpp
+++ b/src/dispatch/advice_table.cpp
@@ -162,14 +162,56 @@
     }
 }
 
+void advice_table::expire_ticket(const step_ref& ref, const target_id& target,
+                                 mono_time now) {
+    const auto step = steps_.find(ref);
+    if (step == steps_.end())
+        return;
+    const auto found = step->second.eligible.find(target);
+    if (found != step->second.eligible.end())
+        found->second.expires = now;
+}
+
 void advice_table::remove(const job_id& job) {
     const auto first = steps_.lower_bound(step_ref{job, 0, 0});
     auto last = first;
-    for (; last != steps_.end() && last->first.job == job; ++last)
+    for (; last != steps_.end() && last->first.job == job; ++last) {
         end_call(last->second);
+        clear_targets(last->second);
+    }
     steps_.erase(first, last);
 }
 
+void advice_table::remove(const step_ref& step) {
+    const auto found = steps_.find(step);
+    if (found == steps_.end())
+        return;
+    end_call(found->second);
+    clear_targets(found->second);
+    steps_.erase(found);
+}
+
+void advice_table::clear_targets(step_advice& step) {
+    target_count_ -= step.eligible.size() + step.ineligible.size();
+    step.eligible.clear();
+    step.ineligible.clear();
+}
+
+void advice_table::limit_targets(const step_ref& kept) {
+    if (max_targets_ == 0 || target_count_ <= max_targets_)
+        return;
+    auto position = steps_.lower_bound(next_dropped_);
+    for (std::size_t visited = 0;
+         visited < steps_.size() && target_count_ > max_targets_; ++visited) {
+        if (position == steps_.end())
+            position = steps_.begin();
+        if (position->first != kept)
+            clear_targets(position->second);
+        ++position;
+    }
+    next_dropped_ = position == steps_.end() ? step_ref{} : position->first;
+}
+
 void advice_table::answered(const step_ref& ref, const advice_answer& answer,
                             mono_time answered_at) {
     const auto found = steps_.find(ref);
@@ -182,6 +224,7 @@
         step.retry_at = answered_at + STEP_RETRY_DELAY;
         return;
     }
+    target_count_ -= step.eligible.size() + step.ineligible.size();
     for (const eligible_target& row : answer.eligible)
         step.eligible[row.target] = {row.ticket, answered_at +
                                                      answer.ticket_lifetime -
@@ -193,6 +236,8 @@
         if (!is_eligible)
             step.ineligible.insert(target);
     }
+    target_count_ += step.eligible.size() + step.ineligible.size();
+    limit_targets(ref);
 }
 
 } // namespace rattan::dispatch
--- a/src/dispatch/advice_table.hpp
+++ b/src/dispatch/advice_table.hpp
@@ -113,9 +113,25 @@
      */
     void drop_tickets(const target_id& target);
 
+    /** A target has refused the ticket for a step. */
+    void expire_ticket(const step_ref& step, const target_id& target,
+                       mono_time now);
+
     /** Removes what is kept about the steps of a job. */
     void remove(const job_id& job);
 
+    /** The same for one step, all tasks of which are done. */
+    void remove(const step_ref& step);
+
+    /**
+     * Limits the targets kept over all steps; 0: no limit. Beyond it, answers
+     * about other steps are dropped and asked for again when needed.
+     */
+    void set_max_targets(std::size_t targets) { max_targets_ = targets; }
+
+    /** Targets kept over all steps, eligible or not. */
+    [[nodiscard]] std::size_t target_count() const { return target_count_; }
+
     /** Records an answer. @param answered_at Time of its arrival. */
     void answered(const step_ref& step, const advice_answer& answer,
                   mono_time answered_at);
@@ -133,9 +149,16 @@
     advice_host* find_host(millis duration, mono_time now);
     /** Notes that the pending call of a step has ended. */
     void end_call(step_advice& step);
+    /** Drops the answers about a step. */
+    void clear_targets(step_advice& step);
+    /** Drops answers about steps other than `kept` down to the limit. */
+    void limit_targets(const step_ref& kept);
 
     std::vector<advice_host> hosts_;
     std::map<step_ref, step_advice> steps_;
+    std::size_t max_targets_ = 0;
+    std::size_t target_count_ = 0;
+    step_ref next_dropped_; ///< Where the next search for answers begins.
     std::map<queue_id, int> pending_calls_;
     /** Queues that asked for calls, quick and slow, in this round. */
     std::array<std::set<queue_id>, 2> asking_;
--- a/src/dispatch/owner_start.cpp
+++ b/src/dispatch/owner_start.cpp
@@ -121,7 +121,7 @@
                 "target=" + id.value + " cause=" +
                     std::to_string(static_cast<int>(answer.refusal)));
     if (answer.refusal == order_refusal::invalid_ticket)
-        advice_.for_step(task.step).eligible[id].expires = clock.now;
+        advice_.expire_ticket(task.step, id, clock.now);
     const bool gang =
         jobs_.spec(task.step) != nullptr && jobs_.spec(task.step)->gang;
     release_run(*target, task);
--- a/src/dispatch/owner_stop.cpp
+++ b/src/dispatch/owner_stop.cpp
@@ -158,6 +158,10 @@
             record_run_time(end.task, clock.now - run.started);
         record_speed(target, run, end.task, clock.now);
         jobs_.complete(end.task, clock.wall_ms, clock.now);
+        if (const step_entry* step = jobs_.find(end.task.step);
+            step == nullptr ||
+            step->done == static_cast<std::int32_t>(step->tasks.size()))
+            advice_.remove(end.task.step);
         if (may_copy(spec))
             stop_other_runs(end.task, clock);
         break;
--- a/tests/advice_table_test.cpp
+++ b/tests/advice_table_test.cpp
@@ -93,3 +93,27 @@
         calls_of_first += *host == *first ? 1 : 0;
     EXPECT_GT(calls_of_first, 0);
 }
+
+// Guards against answers of the advice service that pile up.
+TEST(advice_table, keeps_a_limited_number_of_targets) {
+    constexpr std::size_t MAX_TARGETS = 50;
+    advice_table table;
+    table.set_max_targets(MAX_TARGETS);
+    for (int step = 0; step < 20; ++step) {
+        const step_ref ref{{"job"}, 0, step};
+        std::vector<target_id> targets;
+        for (int i = 0; i < 20; ++i)
+            targets.push_back({"t" + std::to_string(i)});
+        static_cast<void>(table.for_step(ref));
+        table.asked(ref, {"q"}, targets);
+        table.answered(ref,
+                       {.ok = true,
+                        .eligible = {{targets[0], "ticket"}},
+                        .ticket_lifetime = millis(2500)},
+                       NOW);
+        EXPECT_LE(table.target_count(), MAX_TARGETS);
+        EXPECT_NE(table.for_step(ref).valid_ticket(targets[0], NOW), nullptr);
+    }
+    table.remove(job_id{"job"});
+    EXPECT_EQ(table.target_count(), 0U);
+}
