Owner: store many changes in several calls

Callers saw: nothing yet. Found by reading: a change of all jobs at once, such as the placement of their first tasks, was encoded into one list of records, of which the writer makes up to five copies. The size was that of all jobs. Change: a call takes no further record from 1 MB on. Acknowledgements of ends and starts wait for the last call of a round, so that nothing is acknowledged or started before it is stored.

--- a/src/dispatch/owner_base.cpp
+++ b/src/dispatch/owner_base.cpp
@@ -31,6 +31,11 @@
  * Ended jobs are kept slightly longer than the retention promised to callers.
  */
 constexpr millis RETENTION_MARGIN{5000};
+/**
+ * A `store` call takes no further record once its records have this size, so
+ * that the copies of the records in the process stay small.
+ */
+constexpr std::size_t MAX_STORE_CALL_BYTES = 1U << 20U;
 /** Submissions of this many seconds may arrive as a burst. */
 constexpr double RATE_BURST_S = 1;
 constexpr double MS_PER_SECOND = 1000;
@@ -241,17 +246,8 @@
         output_.remove_jobs(expired);
 }
 
-void owner::store_changes() {
-    if (store_pending_ || superseded_)
-        return;
-    std::vector<store_record> records;
-    for (const job_id& id : jobs_.take_changed())
-        if (const job_entry* job = jobs_.find(id)) {
-            records.push_back(
-                {.key = progress_key(id), .value = encode_progress(*job)});
-            if (job->ended())
-                job_ends_in_store_call_.push_back(id);
-        }
+void owner::begin_store_round() {
+    unrecorded_jobs_ = jobs_.take_changed();
     ends_in_store_call_.clear();
     for (auto& [id, target] : targets_.all())
         if (target.last_applied_end > target.last_stored_end)
@@ -259,7 +255,31 @@
                 last > target.last_stored_end)
                 ends_in_store_call_[id] = {target.incarnation, last};
     runs_in_store_call_ = std::exchange(unstored_runs_, {});
+}
+
+void owner::store_changes() {
+    if (store_pending_ || superseded_)
+        return;
+    if (unrecorded_jobs_.empty())
+        begin_store_round();
+    std::vector<store_record> records;
+    std::size_t bytes = 0;
+    while (!unrecorded_jobs_.empty() && bytes < MAX_STORE_CALL_BYTES) {
+        const auto next = unrecorded_jobs_.extract(unrecorded_jobs_.begin());
+        const job_id& id = next.value();
+        const job_entry* job = jobs_.find(id);
+        if (job == nullptr)
+            continue;
+        records.push_back(
+            {.key = progress_key(id), .value = encode_progress(*job)});
+        bytes += records.back().value.size();
+        if (job->ended())
+            job_ends_in_store_call_.push_back(id);
+    }
     if (records.empty()) {
+        unstored_runs_.insert(unstored_runs_.end(), runs_in_store_call_.begin(),
+                              runs_in_store_call_.end());
+        runs_in_store_call_.clear();
         // Ends of unknown runs change no job, so there is nothing to store.
         for (const auto& [id, end] : ends_in_store_call_)
             targets_.find(id)->last_stored_end = end.sequence;
@@ -273,6 +293,8 @@
 void owner::records_stored(const owner_clock& clock) {
     store_pending_ = false;
     stored_at_ = clock.now;
+    if (!unrecorded_jobs_.empty())
+        return confirm_job_ends(clock);
     for (const auto& [id, end] : ends_in_store_call_) {
         target_state* target = targets_.find(id);
         if (target == nullptr || target->incarnation != end.incarnation)
--- a/src/dispatch/owner_base.hpp
+++ b/src/dispatch/owner_base.hpp
@@ -256,6 +256,11 @@
     void add_live_job(const job_entry& job);
     void start_due_repeats(const owner_clock& clock);
     void purge_expired(const owner_clock& clock);
+    /**
+     * Begins to store all changes since the last time. They take several calls
+     * if they are large; ends and starts wait for the last one.
+     */
+    void begin_store_round();
     void store_changes();
     /** The ends in the last `store` call are stored: they may be shown. */
     void confirm_job_ends(const owner_clock& clock);
@@ -634,6 +639,8 @@
     mono_time handover_received_at_{};
     mono_time next_purge_{};
     mono_time next_overdue_log_{};
+    /** Changed jobs that this round of `store` calls has not recorded yet. */
+    std::set<job_id> unrecorded_jobs_;
     /** Runs recorded by the pending `store` call; they start after it. */
     std::vector<std::pair<target_id, task_id>> runs_in_store_call_;
     /** Runs that the next `store` call will record. */
