Entry hosts: limit the state of accepted jobs

Callers saw: a process ended (out of memory), and with it the answers of its host, after ordinary-looking clients had sent legal jobs for some seconds. Cause: nothing bounded the jobs that the owner keeps. A job of 1,000 steps takes 0.85 to 1 MB there. Ended jobs kept their definitions for the retention time, cancellations of unknown jobs were kept as long, a job may start 2,500 repeats, and a next owner loaded everything, whatever its memory. Change: the owner counts an upper estimate of the state of each job, also by organisation, against 5/32 of the memory of the smallest registered host. Each host may accept its share of a half of what is left without asking, until the owner has counted what it accepted; beyond that it asks the owner, which keeps room for what it admits. An organisation may use as much as is left, large jobs half of that. What is not admitted gets 503 with Retry-After if the owner is certain that no submission of the job was stored, otherwise 504; a known job is accepted again. Ended jobs keep only their end, repeats beyond the reserved ones wait for memory, and a next owner loads the progress first, so that it does not hold the records of ended jobs. Client sockets have smaller buffers, and appends of requests are smaller. Why it works: every job that a host stores is counted in a share, a reservation or the owner's table at each moment, and the sum of the three is the limit.

--- a/proto/rattan.thrift
+++ b/proto/rattan.thrift
@@ -105,6 +105,14 @@
     1: required i64 epoch
 }
 
+// What a host may accept without asking the owner.
+struct state_grant {
+    1: required i64 bytes,                     // state of jobs
+    2: required list<string> refused,          // organisations, by name
+    3: required bool announce,                 // whether to announce all jobs
+    4: required bool loading                   // the last grant remains
+}
+
 struct beat_request {
     1: required string host
 }
@@ -115,20 +123,23 @@
     3: required string owner_address,
     4: required i32 store_age_ms,   // time since the store last answered
     5: required i32 owner_age_ms,   // time since the owner was last heard from
-    6: optional string waits        // expected waits of new jobs, by the owner
+    6: optional string waits,       // expected waits of new jobs, by the owner
+    7: optional state_grant grant   // by the owner
 }
 
 struct job_state_request {
     1: required string job,
     2: required string organisation,
     3: i32 wait_ms = 0, // longest wait for an end that is not stored yet
-    4: i32 intent = 0   // dispatch::submission_intent
+    4: i32 intent = 0,  // dispatch::submission_intent
+    5: i64 state_bytes = 0 // of the job, if the owner shall admit it
 }
 
 struct job_state_reply {
     1: required i32 state,           // dispatch::job_state
     2: bool end_unstored = false,    // the job has ended; shown once stored
-    3: bool never_stored = false     // no submission of the job may be stored
+    3: bool never_stored = false,    // no submission of the job may be stored
+    4: i32 admission = 0             // dispatch::admission
 }
 
 struct waiting_request {
--- a/src/dispatch/job_table.cpp
+++ b/src/dispatch/job_table.cpp
@@ -1,5 +1,7 @@
 #include "dispatch/job_table.hpp"
 
+#include "dispatch/job_size.hpp"
+
 #include <algorithm>
 #include <cassert>
 #include <limits>
@@ -22,15 +24,6 @@
                        });
 }
 
-/** Number of repeats of a job that may be in progress at the same time. */
-std::size_t max_repeats_in_progress(const job_spec& spec) {
-    std::int64_t tasks = 0;
-    for (const step_spec& step : spec.steps)
-        tasks += step.count;
-    return static_cast<std::size_t>(std::max<std::int64_t>(
-        1, MAX_TASKS_IN_PROGRESS / std::max<std::int64_t>(1, tasks)));
-}
-
 } // namespace
 
 millis critical_path_length(const job_spec& spec) {
@@ -115,6 +108,7 @@
     found->second.record = std::move(record);
     found->second.critical_path =
         critical_path_length(found->second.record.spec);
+    charge(found->second, job_state_bytes(found->second.record.spec));
     return true;
 }
 
@@ -123,7 +117,8 @@
     if (job.ended() || job.next_repeat >= std::max(1, spec.repeats))
         return std::numeric_limits<std::int64_t>::max();
     if (!job.repeats.empty() &&
-        job.repeats.size() >= max_repeats_in_progress(spec))
+        (job.repeat_without_memory ||
+         job.repeats.size() >= max_repeats_in_progress(spec)))
         return std::numeric_limits<std::int64_t>::max();
     if (spec.repeats == 0)
         return 0;
@@ -134,7 +129,16 @@
                                   mono_time now) {
     bool started = false;
     while (next_due_ms(job) <= wall_ms) {
+        if (job.repeats.size() >= reserved_repeats(job.record.spec)) {
+            const std::size_t bytes = repeat_state_bytes(job.record.spec);
+            job.repeat_without_memory =
+                !budget_.admits(job.record.organisation, bytes);
+            if (job.repeat_without_memory)
+                break;
+            charge(job, job.state_bytes + bytes);
+        }
         repeat_entry& repeat = job.repeats[job.next_repeat++];
+        repeat.steps.reserve(job.record.spec.steps.size());
         for (const step_spec& spec : job.record.spec.steps) {
             step_entry step;
             step.tasks.resize(static_cast<size_t>(spec.count));
@@ -268,6 +272,9 @@
     ++repeat.steps_done;
     if (repeat.steps_done < static_cast<std::int32_t>(repeat.steps.size()))
         return mark_ready_steps(job, repeat, now);
+    if (job.repeats.size() > reserved_repeats(job.record.spec))
+        charge(job, job.state_bytes - repeat_state_bytes(job.record.spec));
+    job.repeat_without_memory = false;
     job.repeats.erase(ref.repeat);
     ++job.repeats_done;
     if (job.repeats_done < std::max(1, job.record.spec.repeats) || job.ended())
@@ -370,19 +377,43 @@
     task_entry* task = find(id);
     if (task == nullptr || task->phase == task_phase::done)
         return;
-    if (!spec(id.step)->gang) {
-        task->checkpoint = checkpoint;
-        return;
-    }
-    for (task_entry& member : find(id.step)->tasks)
-        member.checkpoint = checkpoint;
+    job_entry& job = *find(id.step.job);
+    std::size_t bytes = job.state_bytes;
+    const auto keep = [&](task_entry& kept) {
+        const std::size_t before =
+            std::max(kept.checkpoint.size(), USUAL_CHECKPOINT_BYTES);
+        kept.checkpoint = checkpoint;
+        bytes += std::max(checkpoint.size(), USUAL_CHECKPOINT_BYTES) - before;
+    };
+    if (!spec(id.step)->gang)
+        keep(*task);
+    else
+        for (task_entry& member : find(id.step)->tasks)
+            keep(member);
+    charge(job, bytes);
 }
 
 void job_table::remove(const job_id& id) {
+    if (job_entry* job = find(id))
+        charge(*job, 0);
     jobs_.erase(id);
     changed_.erase(id);
 }
 
+void job_table::drop_definition(const job_id& id) {
+    job_entry& job = *find(id);
+    std::string().swap(job.record.spec.payload);
+    std::vector<step_spec>().swap(job.record.spec.steps);
+    job.repeats.clear();
+    charge(job, ENDED_JOB_BYTES);
+}
+
+void job_table::charge(job_entry& job, std::size_t bytes) {
+    budget_.add(job.record.organisation, bytes);
+    budget_.remove(job.record.organisation, job.state_bytes);
+    job.state_bytes = bytes;
+}
+
 job_entry* job_table::find(const job_id& id) {
     const auto found = jobs_.find(id);
     return found == jobs_.end() ? nullptr : &found->second;
@@ -422,8 +453,20 @@
 
 void job_table::restore(job_entry job, mono_time now) {
     const job_id id = job.record.id;
+    if (job_entry* earlier = find(id))
+        charge(*earlier, 0);
+    job.state_bytes = 0;
     jobs_[id] = std::move(job);
     job_entry& kept = jobs_[id];
+    const job_spec& spec = kept.record.spec;
+    const std::size_t reserved =
+        spec.steps.empty() ? 0 : reserved_repeats(spec);
+    charge(kept,
+           spec.steps.empty()
+               ? ENDED_JOB_BYTES
+               : job_state_bytes(spec) +
+                     (std::max(kept.repeats.size(), reserved) - reserved) *
+                         repeat_state_bytes(spec));
     kept.critical_path = critical_path_length(kept.record.spec);
     for (auto& [number, repeat] : kept.repeats)
         mark_ready_steps(kept, repeat, now);
--- a/src/dispatch/job_table.hpp
+++ b/src/dispatch/job_table.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "dispatch/dispatch_type.hpp"
+#include "dispatch/state_budget.hpp"
 
 #include <functional>
 #include <map>
@@ -18,6 +19,12 @@
 /** The same for a run; the next one has to fit into 32 bits as well. */
 constexpr std::int32_t MAX_RUN_NUMBER = 1 << 30;
 
+/**
+ * This long after the end of a job all its runs are stopped or their leases
+ * have expired, with a wide margin.
+ */
+constexpr millis RUNS_GONE_AFTER{30'000};
+
 /** Progress of a task. */
 enum class task_phase : std::uint8_t {
     waiting, ///< No run of the task can exist.
@@ -107,6 +114,9 @@
     std::vector<recorded_run> leftover_runs;
     /** The store refused the record of the ended job with its runs. */
     bool unawaited_runs_unstorable = false;
+    std::size_t state_bytes = 0; ///< Counted in the budget of the table.
+    /** No memory was left for a further repeat; it waits for another's end. */
+    bool repeat_without_memory = false;
 
     [[nodiscard]] bool ended() const {
         return state == job_state::completed || state == job_state::failed ||
@@ -150,7 +160,8 @@
 
     /**
      * Starts the repeats of a job that are due. Beyond `MAX_TASKS_IN_PROGRESS`
-     * tasks in progress a repeat waits for the end of an earlier one.
+     * tasks in progress, or if the budget has no room for a repeat beyond the
+     * reserved ones, a repeat waits for the end of an earlier one.
      * @return True if there were any.
      */
     bool start_due_repeats(job_entry& job, std::int64_t wall_ms, mono_time now);
@@ -240,6 +251,16 @@
 
     void remove(const job_id& id);
 
+    /**
+     * Drops the definition of an ended job, of which only the end is asked for.
+     * @pre No run of the job is recorded.
+     */
+    void drop_definition(const job_id& id);
+
+    /** The memory of all jobs, and of what else callers make the owner keep. */
+    [[nodiscard]] state_budget& budget() { return budget_; }
+    [[nodiscard]] const state_budget& budget() const { return budget_; }
+
     /** Adds a job to those whose progress has to be stored. */
     void mark_changed(const job_id& id) { changed_.insert(id); }
 
@@ -271,8 +292,12 @@
     void finish_step(job_entry& job, const step_ref& ref, std::int64_t wall_ms,
                      mono_time now);
 
+    /** Counts the memory of a job anew. */
+    void charge(job_entry& job, std::size_t bytes);
+
     std::unordered_map<job_id, job_entry> jobs_;
     std::set<job_id> changed_;
+    state_budget budget_;
 };
 
 } // namespace rattan::dispatch
--- a/src/dispatch/owner_base.cpp
+++ b/src/dispatch/owner_base.cpp
@@ -1,5 +1,6 @@
 #include "dispatch/owner_base.hpp"
 
+#include "dispatch/job_size.hpp"
 #include "dispatch/record_codec.hpp"
 #include "dispatch/route_func.hpp"
 
@@ -36,6 +37,10 @@
  * that the copies of the records in the process stay small.
  */
 constexpr std::size_t MAX_STORE_CALL_BYTES = 1U << 20U;
+/** One target is kept for so much of the limit on the state of jobs. */
+constexpr std::size_t STATE_BYTES_PER_ADVISED_TARGET = 768;
+/** A job that was admitted is stored and read after this time, or never. */
+constexpr millis RESERVATION_TIME{15'000};
 /** Submissions of this many seconds may arrive as a burst. */
 constexpr double RATE_BURST_S = 1;
 constexpr double MS_PER_SECOND = 1000;
@@ -72,6 +77,7 @@
 
 owner::owner(const owner_settings& settings, owner_output& output)
     : settings_(settings), output_(output), tokens_(settings.epoch),
+      reservations_(jobs_.budget()),
       suspects_(jobs_, targets_,
                 [this](std::string_view event, const job_id& job,
                        const std::string& detail) {
@@ -155,6 +161,7 @@
 
 void owner::job_accepted(job_record record, const owner_clock& clock) {
     const job_id id = record.id;
+    reservations_.release(id);
     if (!jobs_.accept(std::move(record)))
         return;
     job_entry& job = *jobs_.find(id);
@@ -169,8 +176,10 @@
                     std::to_string(job.record.spec.steps.size()) + " age_ms=" +
                     std::to_string(clock.wall_ms - job.record.accepted_ms));
     if (const auto early = early_cancels_.extract(id))
-        for (const organisation_id& requester : early.mapped().requesters)
+        for (const organisation_id& requester : early.mapped().requesters) {
+            jobs_.budget().remove(requester, EARLY_CANCEL_BYTES);
             job_cancelled(id, requester, clock);
+        }
 }
 
 void owner::job_cancelled(const job_id& id, const organisation_id& requester,
@@ -179,7 +188,8 @@
     if (job == nullptr) {
         early_cancel& early = early_cancels_[id];
         early.at_ms = clock.wall_ms;
-        early.requesters.insert(requester);
+        if (early.requesters.insert(requester).second)
+            jobs_.budget().add(requester, EARLY_CANCEL_BYTES);
         return;
     }
     if (!may_access(requester, job->record.organisation) ||
@@ -189,9 +199,22 @@
     stop_job(*jobs_.find(id), clock);
 }
 
+bool owner::reserve_state(const job_id& job,
+                          const organisation_id& organisation,
+                          std::size_t bytes, const owner_clock& clock) {
+    return reservations_.reserve(job, organisation, bytes, clock.now);
+}
+
+void owner::set_state_limit(state_limit limit) {
+    jobs_.budget().set_limit(limit);
+    advice_.set_max_targets(limit / STATE_BYTES_PER_ADVISED_TARGET);
+}
+
 void owner::restore_job(job_entry job, const owner_clock& clock) {
     if (!job.ended())
         add_live_job(job);
+    else if (!job.record.spec.steps.empty())
+        ended_with_definition_.insert(job.record.id);
     const job_id id = job.record.id;
     jobs_.restore(std::move(job), clock.now);
     suspects_.job_restored(id);
@@ -230,22 +253,50 @@
     log_overdue_runs(clock);
     const std::int64_t cutoff_ms =
         clock.wall_ms - (settings_.state_retention + RETENTION_MARGIN).count();
+    reservations_.expire(clock.now - RESERVATION_TIME);
+    drop_ended_definitions(clock);
     std::vector<job_id> expired;
     for (const auto& [id, early] : early_cancels_)
         if (early.at_ms < cutoff_ms)
             expired.push_back(id);
-    for (const job_id& id : expired)
-        early_cancels_.erase(id);
+    forget_early_cancels(cutoff_ms);
     for (const auto& [id, job] : jobs_.all())
         if (job.ended() && job.ended_ms < cutoff_ms && !live_jobs_.contains(id))
             expired.push_back(id);
     for (const job_id& id : expired) {
         jobs_.remove(id);
+        ended_with_definition_.erase(id);
     }
     if (!expired.empty())
         output_.remove_jobs(expired);
 }
 
+void owner::drop_ended_definitions(const owner_clock& clock) {
+    for (auto position = ended_with_definition_.begin();
+         position != ended_with_definition_.end();) {
+        const job_entry* job = jobs_.find(*position);
+        // The demand of a run that may still exist is needed.
+        if (job != nullptr && !unawaited_runs(*job).empty() &&
+            job->ended_ms + RUNS_GONE_AFTER.count() >= clock.wall_ms) {
+            ++position;
+            continue;
+        }
+        if (job != nullptr)
+            jobs_.drop_definition(*position);
+        position = ended_with_definition_.erase(position);
+    }
+}
+
+void owner::forget_early_cancels(std::int64_t cutoff_ms) {
+    std::erase_if(early_cancels_, [&](const auto& item) {
+        if (item.second.at_ms >= cutoff_ms)
+            return false;
+        for (const organisation_id& requester : item.second.requesters)
+            jobs_.budget().remove(requester, EARLY_CANCEL_BYTES);
+        return true;
+    });
+}
+
 void owner::begin_store_round() {
     unrecorded_jobs_ = jobs_.take_changed();
     ends_in_store_call_.clear();
@@ -314,6 +365,7 @@
         if (job == nullptr || live_jobs_.erase(id) == 0)
             continue;
         repeating_jobs_.erase(id);
+        ended_with_definition_.insert(id);
         advice_.remove(id);
         corrections_.remove(id);
         output_.log(
--- a/src/dispatch/owner_base.hpp
+++ b/src/dispatch/owner_base.hpp
@@ -11,6 +11,7 @@
 #include "dispatch/route_type.hpp"
 #include "dispatch/scheduling_policy.hpp"
 #include "dispatch/speed_table.hpp"
+#include "dispatch/state_reservations.hpp"
 #include "dispatch/target_table.hpp"
 #include "dispatch/wait_estimate.hpp"
 #include "dispatch/work_order.hpp"
@@ -131,6 +132,16 @@
      */
     void job_cancelled(const job_id& job, const organisation_id& requester,
                        const owner_clock& clock);
+    /**
+     * A host asks whether it may store a job, which room is kept for then.
+     * @return False if the job would exceed the limit on the state of jobs.
+     */
+    [[nodiscard]] bool reserve_state(const job_id& job,
+                                     const organisation_id& organisation,
+                                     std::size_t bytes,
+                                     const owner_clock& clock);
+    /** Sets the limit on the state of jobs. */
+    void set_state_limit(state_limit limit);
     /** Loads a job of an earlier owner before `take_over`. */
     void restore_job(job_entry job, const owner_clock& clock);
     /** The store confirmed that this host was still the owner at `at`. */
@@ -218,6 +229,8 @@
     [[nodiscard]] std::int64_t waiting_in(const queue_id& queue) const;
     [[nodiscard]] const job_table& jobs() const { return jobs_; }
     [[nodiscard]] const target_table& targets() const { return targets_; }
+    /** The memory that callers' jobs and requests take here. */
+    [[nodiscard]] const state_budget& state() const { return jobs_.budget(); }
     /** Expected waits of new jobs; none unless work is ordered by cost. */
     [[nodiscard]] const wait_estimate& waits() const { return wait_estimate_; }
     [[nodiscard]] std::string dump() const;
@@ -256,6 +269,9 @@
     void add_live_job(const job_entry& job);
     void start_due_repeats(const owner_clock& clock);
     void purge_expired(const owner_clock& clock);
+    /** Keeps only the ends of jobs of which no run is recorded any more. */
+    void drop_ended_definitions(const owner_clock& clock);
+    void forget_early_cancels(std::int64_t cutoff_ms);
     /**
      * Begins to store all changes since the last time. They take several calls
      * if they are large; ends and starts wait for the last one.
@@ -552,6 +568,7 @@
     std::set<data_centre_id> evacuated_;
     fencing_tokens tokens_;
     job_table jobs_;
+    state_reservations reservations_;
     target_table targets_;
     advice_table advice_;
     /** Repeats with a step to ask about before it is ready. */
@@ -571,6 +588,8 @@
     std::set<job_id> live_jobs_;
     /** Live jobs that start repeats at times of their own. */
     std::set<job_id> repeating_jobs_;
+    /** Ended jobs that still have their definitions. */
+    std::set<job_id> ended_with_definition_;
     /** Jobs whose end the pending `store` call records. */
     std::vector<job_id> job_ends_in_store_call_;
     /** Token bucket for the submission rate of an organisation. */
--- a/src/dispatch/record_codec.cpp
+++ b/src/dispatch/record_codec.cpp
@@ -15,12 +15,6 @@
 
 namespace {
 
-/**
- * This long after the end of a job all its runs are stopped or their leases
- * have expired, with a wide margin.
- */
-constexpr millis RUNS_GONE_AFTER{30'000};
-
 constexpr std::int64_t MAX_INTEGER = std::int64_t{1} << 50U;
 constexpr std::int64_t MAX_COUNT = 1 << 30; ///< Of tasks or runs.
 constexpr size_t MAX_JOB_ID_BYTES = 128;
@@ -57,6 +51,8 @@
                            std::to_string(MAX_PORT));
     return address;
 }
+/** Position of the memory in a member's record; earlier versions end here. */
+constexpr std::size_t MEMORY_FIELD = 4;
 /** Position of the leases in the record of an owner that has resigned. */
 constexpr std::size_t LEASES_FIELD = 4;
 
@@ -259,6 +255,18 @@
         }
 }
 
+/** Decodes the end of a job; nothing if the job has not ended. */
+std::optional<job_entry> decode_end(const job_id& id, const std::string& text) {
+    return decoding("progress", text, [&](const json& in) {
+        job_entry job{
+            .record = {.id = id,
+                       .organisation = in.at(5).get<organisation_id>()},
+            .state = state_at(in, 0),
+            .ended_ms = integer_at(in, 1, MAX_INTEGER)};
+        return job.ended() ? std::optional(std::move(job)) : std::nullopt;
+    });
+}
+
 } // namespace
 
 std::string encode_job(const job_record& record) {
@@ -288,6 +296,7 @@
                 "job id has " + std::to_string(record.id.value.size()) +
                 " bytes; the limit is " + std::to_string(MAX_JOB_ID_BYTES));
         std::int64_t tasks = 0;
+        record.spec.steps.reserve(in.at(8).size());
         for (const json& row : in.at(8)) {
             record.spec.steps.push_back(
                 decode_step(row, record.spec.steps.size()));
@@ -327,17 +336,19 @@
 std::optional<job_entry> decode_ended_job(const job_id& id,
                                           const std::string& text,
                                           std::int64_t wall_ms) {
-    return decoding("progress", text, [&](const json& in) {
-        job_entry job{
-            .record = {.id = id,
-                       .organisation = in.at(5).get<organisation_id>()},
-            .state = state_at(in, 0),
-            .ended_ms = integer_at(in, 1, MAX_INTEGER)};
-        // Runs of a recently ended job may still exist and use resources.
-        const bool long_over =
-            job.ended() && job.ended_ms + RUNS_GONE_AFTER.count() < wall_ms;
-        return long_over ? std::optional(std::move(job)) : std::nullopt;
+    auto job = decode_end(id, text);
+    // Runs of a recently ended job may still exist and use resources.
+    const bool long_over =
+        job && job->ended_ms + RUNS_GONE_AFTER.count() < wall_ms;
+    return long_over ? std::move(job) : std::nullopt;
+}
+
+std::optional<job_entry> decode_end_without_runs(const job_id& id,
+                                                 const std::string& text) {
+    const bool runs_listed = decoding("progress", text, [](const json& in) {
+        return in.size() > LEFTOVERS_FIELD;
     });
+    return runs_listed ? std::nullopt : decode_end(id, text);
 }
 
 void apply_progress(job_entry& job, const std::string& text) {
@@ -398,16 +409,19 @@
 
 std::string encode_member(const member_record& member) {
     return json::array({member.host, member.data_centre, member.address,
-                        member.milli_cores})
+                        member.milli_cores, member.memory_bytes})
         .dump();
 }
 
 member_record decode_member(const std::string& text) {
     return decoding("member", text, [](const json& in) {
-        return member_record{.host = in.at(0).get<host_id>(),
-                             .data_centre = in.at(1).get<data_centre_id>(),
-                             .address = address_at(in, 2, false),
-                             .milli_cores = integer_at(in, 3, MAX_INTEGER)};
+        member_record out{.host = in.at(0).get<host_id>(),
+                          .data_centre = in.at(1).get<data_centre_id>(),
+                          .address = address_at(in, 2, false),
+                          .milli_cores = integer_at(in, 3, MAX_INTEGER)};
+        if (in.size() > MEMORY_FIELD)
+            out.memory_bytes = integer_at(in, MEMORY_FIELD, MAX_INTEGER);
+        return out;
     });
 }
 
--- a/src/dispatch/record_codec.hpp
+++ b/src/dispatch/record_codec.hpp
@@ -32,6 +32,10 @@
                                           const std::string& text,
                                           std::int64_t wall_ms);
 
+/** The same for a job of which no run is recorded, however recent its end. */
+std::optional<job_entry> decode_end_without_runs(const job_id& id,
+                                                 const std::string& text);
+
 /**
  * Applies encoded progress to a newly created entry of its job.
  * @throw decode_error.
@@ -61,6 +65,7 @@
     std::string address;
     /** Hosts with more cores claim ownership first. */
     std::int64_t milli_cores = 0;
+    std::int64_t memory_bytes = 0; ///< Of a process; 0: not stated.
 };
 
 std::string encode_owner(const owner_record& owner);
--- a/src/dispatch/submission_table.hpp
+++ b/src/dispatch/submission_table.hpp
@@ -17,6 +17,16 @@
     none,
     store,  ///< It is about to store the job.
     refuse, ///< It refuses the job if no submission of it may be stored.
+    admit,  ///< It stores the job if the owner admits it.
+    cancel, ///< It cancels the job, which the owner may not know.
+};
+
+/** The owner's answer to a host that is about to store a job or a cancel. */
+enum class admission {
+    unclear, ///< It may not be stored, but an earlier request may have been.
+    known,   ///< The owner has the job: storing it again takes no memory.
+    admitted,
+    refused, ///< It may not be stored, and no submission of it was.
 };
 
 /**
--- a/src/front/front_refusal.cpp
+++ b/src/front/front_refusal.cpp
@@ -64,13 +64,13 @@
         record.spec, pending->queue, pending->organisation, newest.waits,
         newest.age, XXH64(id.data(), id.size(), 0));
     if (!retry_after_s)
-        return store_submission(pending);
+        return admit_submission(pending);
     ask_never_stored(pending->job,
                      [this, pending, retry_after_s](bool never_stored) {
                          if (never_stored)
                              refuse_submission(pending, *retry_after_s);
                          else
-                             store_submission(pending);
+                             admit_submission(pending);
                      });
 }
 
@@ -95,7 +95,7 @@
     const std::string& address = members_.owner().address;
     if (owner_)
         owner_->submission_announced(pending->job);
-    else if (!address.empty())
+    else if (!address.empty() && must_announce())
         members_.peer(address).call(
             wire::method::JOB_STATE,
             wire_encode(
--- a/src/front/front_service.cpp
+++ b/src/front/front_service.cpp
@@ -34,6 +34,8 @@
 constexpr millis MIN_SHUTDOWN_TIME{2500};
 /** Shutdown ends this long before the grace period does. */
 constexpr millis GRACE_MARGIN{1000};
+/** Part of the limit on job state that a host may accept before any grant. */
+constexpr std::size_t INITIAL_SHARE_DIVISOR = 16;
 /** Limit on a body while the configuration states none. */
 constexpr std::size_t DEFAULT_BODY_LIMIT = 1U << 20U;
 /** Requests for readiness and metrics have no body. */
@@ -85,44 +87,48 @@
       store_(store_http_, settings.store_address),
       rpc_address_(settings.ip + ":" +
                    std::to_string(settings.first_internal_port)),
-      members_(loop, store_, settings_, rpc_address_, incarnation_,
-               {.ownership_gained =
-                    [this](std::int64_t epoch) {
-                        owner_ = std::make_unique<owner_service>(
-                            owner_context{loop_, http_, store_, settings_,
-                                          members_, metrics_, delegates_,
-                                          [this](const job_id& job) {
-                                              state_waiters_.end_stored(job);
-                                          }},
-                            epoch);
-                        owner_->ownership_confirmed(event_loop::now());
-                        owner_->set_config(config_);
-                        owner_->set_evacuated(evacuated_);
-                        owner_->update_hosts();
-                    },
-                .resigning =
-                    [this] { return owner_ ? owner_->resign() : std::nullopt; },
-                .ownership_lost =
-                    [this] {
-                        // Deferred: a callback of the owner may be running.
-                        loop_.defer([old_owner = std::shared_ptr<owner_service>(
-                                         std::move(owner_))] {});
-                        state_waiters_.release_all();
-                    },
-                .ownership_confirmed =
-                    [this](mono_time at) {
-                        if (owner_)
-                            owner_->ownership_confirmed(at);
-                    },
-                .waits_received =
-                    [this](const std::string& waits, mono_time sent_at) {
-                        receive_waits(waits, sent_at);
-                    },
-                .members_changed =
-                    [this] {
-                        if (owner_)
-                            owner_->update_hosts();
-                    }}),
+      members_(
+          loop, store_, settings_, rpc_address_, incarnation_,
+          {.ownership_gained =
+               [this](std::int64_t epoch) {
+                   owner_ = std::make_unique<owner_service>(
+                       owner_context{loop_, http_, store_, settings_, members_,
+                                     metrics_, delegates_,
+                                     [this](const job_id& job) {
+                                         state_waiters_.end_stored(job);
+                                     }},
+                       epoch);
+                   owner_->ownership_confirmed(event_loop::now());
+                   owner_->set_config(config_);
+                   owner_->set_evacuated(evacuated_);
+                   owner_->update_hosts();
+               },
+           .resigning =
+               [this] { return owner_ ? owner_->resign() : std::nullopt; },
+           .ownership_lost =
+               [this] {
+                   // Deferred: a callback of the owner may be running.
+                   loop_.defer([old_owner = std::shared_ptr<owner_service>(
+                                    std::move(owner_))] {});
+                   state_waiters_.release_all();
+               },
+           .ownership_confirmed =
+               [this](mono_time at) {
+                   if (owner_)
+                       owner_->ownership_confirmed(at);
+               },
+           .waits_received =
+               [this](const std::string& waits, mono_time sent_at) {
+                   receive_waits(waits, sent_at);
+               },
+           .grant_received =
+               [this](const std::optional<received_grant>& grant,
+                      mono_time sent_at) { receive_grant(grant, sent_at); },
+           .members_changed =
+               [this] {
+                   if (owner_)
+                       owner_->update_hosts();
+               }}),
       delegates_(loop, http_, members_, settings.host),
       operator_follower_(
           loop, store_,
@@ -139,9 +145,16 @@
            .partitions = job_partitions(settings),
            .first_partition = first_partition(settings),
            .producer = settings.host.value + "/" + std::to_string(incarnation_),
-           .max_append_bytes = settings.max_append_bytes}),
+           .max_append_bytes =
+               shares_.append > 0
+                   ? std::min(shares_.append, settings.max_append_bytes)
+                   : settings.max_append_bytes}),
       state_waiters_(MAX_STATE_WAITERS) {
     job_writer_.on_answered([this] { members_.store_answered(); });
+    if (shares_.job_state > 0)
+        state_share_.granted(
+            {.bytes = shares_.job_state / INITIAL_SHARE_DIVISOR},
+            event_loop::now());
 }
 
 http_limits front_service::server_limits(std::size_t connections) {
@@ -277,7 +290,8 @@
                 {wire_decode<wire::beat_request>(body).host});
             answer(wire::status::OK,
                    members_.encode_heartbeat_reply(
-                       owner_ ? owner_->encoded_waits() : ""));
+                       owner_ ? owner_->encoded_waits() : "",
+                       owner_ ? std::optional(owner_->grant()) : std::nullopt));
         });
     rpc_server_->on(wire::method::ADVISE, [this](const std::string& body,
                                                  rpc_server::responder answer) {
@@ -373,7 +387,7 @@
     else if (request.method == "GET")
         reply_current_state(pending);
     else if (request.method == "DELETE")
-        cancel(pending);
+        admit_cancel(pending);
     else
         answer(status_reply(405));
 }
@@ -394,15 +408,12 @@
                   {{"job", pending->job.value}, {"cause", failure.what()}});
         return pending->answer(status_reply(400));
     }
-    if (!settings_.scheduling.order_by_delay_cost)
-        return write(pending, job_key(pending->job), encoded);
     pending->record_value = std::move(encoded);
-    submit_unless_hopeless(pending, record);
-}
-
-void front_service::cancel(const std::shared_ptr<pending_request>& pending) {
-    write(pending, cancel_key(pending->job, pending->organisation),
-          encode_cancel(pending->organisation));
+    pending->state_bytes = job_state_bytes(record.spec);
+    if (settings_.scheduling.order_by_delay_cost)
+        submit_unless_hopeless(pending, record);
+    else
+        admit_submission(pending);
 }
 
 void front_service::shed_idle_connections() {
@@ -425,6 +436,7 @@
     checks_due_us_ = now_us + CHECK_PERIOD.count() * MICROS_PER_MILLI;
     shed_idle_connections();
     report_waits();
+    report_job_state();
     const bool needed =
         owner_silent() && is_state_reader(members_.members(), settings_.host);
     if (needed && !state_reader_)
--- a/src/front/front_service.hpp
+++ b/src/front/front_service.hpp
@@ -4,6 +4,7 @@
 #include "base/metrics_base.hpp"
 #include "dispatch/refusing_queues.hpp"
 #include "dispatch/route_type.hpp"
+#include "dispatch/state_share.hpp"
 #include "dispatch/state_waiters.hpp"
 #include "dispatch/wait_codec.hpp"
 #include "front/member_service.hpp"
@@ -15,6 +16,7 @@
 #include "net/http_server.hpp"
 #include "net/resource_shares.hpp"
 #include "net/rpc_server.hpp"
+#include "net/thrift_codec.hpp"
 #include "platform/platform_settings.hpp"
 
 #include <functional>
@@ -52,8 +54,9 @@
         dispatch::organisation_id organisation;
         job_id job;
         mono_time arrived_at{};
-        std::string record_key;               ///< Key of the record to write.
-        std::string record_value;             ///< Its value.
+        std::string record_key;      ///< Key of the record to write.
+        std::string record_value;    ///< Its value.
+        std::size_t state_bytes = 0; ///< That the owner will keep for it.
         std::vector<std::string> tried_hosts; ///< Hosts asked to write it.
         int writes_in_flight = 0;
         bool outcome_unknown = false; ///< A failed write may take effect.
@@ -87,6 +90,27 @@
     [[nodiscard]] dispatch::aged_waits newest_waits() const;
     /** Logs which queues have stopped refusing; updates the metrics. */
     void report_waits();
+    // front_admission.cpp
+    /** Keeps what the owner lets this host accept. */
+    void receive_grant(const std::optional<received_grant>& grant,
+                       mono_time sent_at);
+    /** Tells whether the owner has to hear of a job before it is stored. */
+    [[nodiscard]] bool must_announce() const;
+    /** Calls `done`, at once unless the owner has to be asked. */
+    void admit(const std::shared_ptr<pending_request>& pending,
+               dispatch::submission_intent intent,
+               const std::function<void(dispatch::admission)>& done);
+    /** Stores a job if its state is within the limit. */
+    void admit_submission(const std::shared_ptr<pending_request>& pending);
+    /** Stores a request to cancel a job if the job may exist. */
+    void admit_cancel(const std::shared_ptr<pending_request>& pending);
+    void reply_not_admitted(const std::shared_ptr<pending_request>& pending,
+                            int status);
+    /** Answers another host's question as the owner. */
+    void answer_admission(const wire::job_state_request& request,
+                          const rpc_server::responder& answer);
+    /** Updates the metrics of the state of jobs; logs when it is full. */
+    void report_job_state();
     // front_state.cpp
     /** Replies with a job's state, from the owner if it can be asked. */
     void reply_current_state(const std::shared_ptr<pending_request>& pending);
@@ -148,7 +172,6 @@
     /** Tells whether the owner, another host, does not answer at all. */
     [[nodiscard]] bool owner_silent() const;
 
-    void cancel(const std::shared_ptr<pending_request>& pending);
     void reply_waiting_count(const std::shared_ptr<pending_request>& pending);
     /** Writes a client's record directly or, if needed, through a peer. */
     void write(const std::shared_ptr<pending_request>& pending,
@@ -208,6 +231,10 @@
     dispatch::expected_waits received_waits_;
     mono_time received_waits_at_{}; ///< When the owner estimated them.
     dispatch::refusing_queues refusing_queues_;
+    dispatch::state_share state_share_; ///< While another host is the owner.
+    bool announce_jobs_ = false;        ///< As the owner asked.
+    mono_time granted_at_{};            ///< When the owner last replied.
+    bool job_state_full_ = false;       ///< As logged last.
     std::unique_ptr<state_reader> state_reader_; ///< While no owner answers.
     std::unique_ptr<rpc_server> rpc_server_;
     std::unique_ptr<http_server> client_server_;
--- a/src/front/front_state.cpp
+++ b/src/front/front_state.cpp
@@ -208,6 +208,9 @@
                                      const rpc_server::responder& answer) {
     const auto request = wire_decode<wire::job_state_request>(body);
     const auto intent = static_cast<submission_intent>(request.intent);
+    if (intent == submission_intent::admit ||
+        intent == submission_intent::cancel)
+        return answer_admission(request, answer);
     if (intent != submission_intent::none)
         return answer_submission({request.job}, intent, answer);
     const auto reply_now = [this, request, answer] {
--- a/src/front/member_service.cpp
+++ b/src/front/member_service.cpp
@@ -174,11 +174,12 @@
 void member_service::register_host() {
     if (leaving_ || std::exchange(registration_pending_, true))
         return;
-    const std::string value =
-        dispatch::encode_member({.host = settings_.host,
-                                 .data_centre = settings_.data_centre,
-                                 .address = own_address_,
-                                 .milli_cores = settings_.milli_cores});
+    const std::string value = dispatch::encode_member(
+        {.host = settings_.host,
+         .data_centre = settings_.data_centre,
+         .address = own_address_,
+         .milli_cores = settings_.milli_cores,
+         .memory_bytes = static_cast<std::int64_t>(settings_.memory_bytes)});
     store_.append({.topic = MEMBERS_TOPIC,
                    .records = {{.key = HOST_PREFIX + settings_.host.value,
                                 .value = value}},
@@ -392,8 +393,9 @@
     return *client;
 }
 
-std::string
-member_service::encode_heartbeat_reply(const std::string& waits) const {
+std::string member_service::encode_heartbeat_reply(
+    const std::string& waits,
+    const std::optional<received_grant>& grant) const {
     wire::beat_reply reply;
     reply.epoch = owner_.epoch;
     reply.owner = owner_.host.value;
@@ -404,6 +406,15 @@
         std::min<std::int64_t>(owner_age().count(), 1 << 30));
     if (!waits.empty())
         reply.__set_waits(waits);
+    if (grant) {
+        wire::state_grant share;
+        share.bytes = static_cast<std::int64_t>(grant->share.bytes);
+        for (const dispatch::organisation_id& name : grant->share.refused)
+            share.refused.push_back(name.value);
+        share.announce = grant->announce;
+        share.loading = grant->loading;
+        reply.__set_grant(share);
+    }
     return wire_encode(reply);
 }
 
@@ -446,6 +457,17 @@
     owner_replied_at_ = event_loop::now();
     if (reply.__isset.waits)
         callbacks_.waits_received(reply.waits, sent_at);
+    std::optional<received_grant> grant;
+    if (reply.__isset.grant) {
+        grant.emplace();
+        grant->share.bytes = static_cast<std::size_t>(
+            std::max<std::int64_t>(0, reply.grant.bytes));
+        for (const std::string& name : reply.grant.refused)
+            grant->share.refused.insert({name});
+        grant->announce = reply.grant.announce;
+        grant->loading = reply.grant.loading;
+    }
+    callbacks_.grant_received(grant, sent_at);
     // An owner that can't reach the store can't start any runs.
     owner_lost_store_ =
         dispatch::has_lost_store(millis(reply.store_age_ms), max_store_gap());
--- a/src/front/member_service.hpp
+++ b/src/front/member_service.hpp
@@ -4,6 +4,7 @@
 #include "dispatch/claim_func.hpp"
 #include "dispatch/contact_table.hpp"
 #include "dispatch/record_codec.hpp"
+#include "dispatch/state_share.hpp"
 #include "front/topic_follower.hpp"
 #include "net/rpc_client.hpp"
 #include "platform/platform_settings.hpp"
@@ -24,6 +25,13 @@
  */
 inline const std::string CLAIMS_TOPIC = "keyed.claims";
 
+/** The owner's reply on what this host may accept. */
+struct received_grant {
+    dispatch::state_grant share;
+    bool announce = false; ///< Whether to announce all jobs.
+    bool loading = false;  ///< The owner does not serve yet: no new share.
+};
+
 /**
  * Follows claims and members in the store, sends heartbeats to the owner and
  * claims ownership when the owner does not answer. A claim is appended on the
@@ -51,6 +59,13 @@
          */
         std::function<void(const std::string& waits, mono_time sent_at)>
             waits_received;
+        /**
+         * The owner has replied to a heartbeat that was sent at the given time.
+         * Owners of earlier versions send no grant.
+         */
+        std::function<void(const std::optional<received_grant>& grant,
+                           mono_time sent_at)>
+            grant_received;
         /** The result of `members_in_touch` has changed. */
         std::function<void()> members_changed;
     };
@@ -128,9 +143,11 @@
     /**
      * Encodes the reply to another host's heartbeat.
      * @param waits Expected waits of new jobs, encoded; empty: none.
+     * @param grant What that host may accept, if this host is the owner.
      */
     [[nodiscard]] std::string
-    encode_heartbeat_reply(const std::string& waits) const;
+    encode_heartbeat_reply(const std::string& waits,
+                           const std::optional<received_grant>& grant) const;
 
 private:
     void handle_member_record(const platform::keyed_record& record);
--- a/src/front/owner_service.cpp
+++ b/src/front/owner_service.cpp
@@ -1,11 +1,13 @@
 #include "front/owner_service.hpp"
 
 #include "base/log_func.hpp"
+#include "dispatch/job_size.hpp"
 #include "dispatch/partition_func.hpp"
 #include "dispatch/reader_func.hpp"
 #include "dispatch/record_packing.hpp"
 #include "dispatch/wait_codec.hpp"
 #include "net/program_runtime.hpp"
+#include "net/resource_shares.hpp"
 #include "net/thrift_codec.hpp"
 #include "platform/wire_codec.hpp"
 #include "rattan/error_type.hpp"
@@ -57,6 +59,12 @@
  * that one encoding serves all hosts.
  */
 constexpr millis MAX_SENT_WAITS_AGE{600};
+/** Hosts announce all jobs from this part of the limit on their state on. */
+constexpr std::size_t ANNOUNCE_FROM_DIVISOR = 4;
+/** They do so until less than this part is used. */
+constexpr std::size_t ANNOUNCE_UNTIL_DIVISOR = 8;
+/** After this time all hosts in touch know that they have to announce. */
+constexpr millis ANNOUNCE_DELAY{3000};
 constexpr size_t KEY_PREFIX_BYTES = 2; ///< Length of `j/`, `c/` and `p/`.
 
 /** Time since boot during which this host was suspended. */
@@ -123,6 +131,7 @@
       progress_partitions_to_load_(progress_writer_.partition_count()),
       start_timeout_(MIN_START_TIMEOUT, MAX_START_TIMEOUT),
       last_total_suspended_(total_suspended_time()) {
+    update_state_limit();
     if (const auto& handover = context_.members.handover())
         owner_.inherit_leases(handover->leases, handover->received_at);
     follow_jobs();
@@ -191,6 +200,7 @@
 }
 
 bool owner_service::never_stored(const job_id& job) {
+    update_announcing();
     // A host that is not in touch stores jobs without announcing them.
     return serving_ && knows_all_jobs() && owner_.jobs().find(job) == nullptr &&
            !submissions_.may_be_stored(job, event_loop::now()) &&
@@ -198,6 +208,69 @@
                context_.members.members().size();
 }
 
+void owner_service::update_state_limit() {
+    const platform::platform_settings& own = context_.settings;
+    std::size_t memory_bytes = own.memory_bytes;
+    for (const auto& [host, member] : context_.members.members())
+        if (member.memory_bytes > 0)
+            memory_bytes = std::min(
+                memory_bytes, static_cast<std::size_t>(member.memory_bytes));
+    owner_.set_state_limit(
+        divide_resources(memory_bytes, own.max_descriptors).job_state);
+}
+
+void owner_service::update_announcing() {
+    const std::size_t limit = owner_.state().limit();
+    const std::size_t used = owner_.state().used();
+    const mono_time now = event_loop::now();
+    const bool before = announcing_;
+    announcing_ = used > limit / (announcing_ ? ANNOUNCE_UNTIL_DIVISOR
+                                              : ANNOUNCE_FROM_DIVISOR);
+    if (context_.settings.scheduling.order_by_delay_cost)
+        return;
+    if (!announcing_)
+        submissions_.announcements_lost(now);
+    else if (!before)
+        submissions_.announcements_lost(now + ANNOUNCE_DELAY);
+}
+
+admission owner_service::admit(const job_id& job,
+                               const organisation_id& organisation,
+                               std::size_t state_bytes) {
+    if (!serving_)
+        return admission::unclear;
+    if (owner_.jobs().find(job) != nullptr)
+        return admission::known;
+    if (owner_.reserve_state(job, organisation, state_bytes, clock())) {
+        submission_announced(job);
+        return admission::admitted;
+    }
+    return never_stored(job) ? admission::refused : admission::unclear;
+}
+
+admission owner_service::admit_cancel(const job_id& job,
+                                      const organisation_id& organisation) {
+    if (!serving_)
+        return admission::unclear;
+    if (owner_.jobs().find(job) != nullptr)
+        return admission::known;
+    if (never_stored(job))
+        return admission::refused;
+    return owner_.state().admits(organisation, EARLY_CANCEL_BYTES)
+               ? admission::admitted
+               : admission::unclear;
+}
+
+received_grant owner_service::grant() {
+    update_announcing();
+    return {.share = {.bytes = host_share(
+                          owner_.state().left(),
+                          context_.members.members_in_touch().size()),
+                      .refused = owner_.state().over_share()},
+            .announce = announcing_,
+            .loading = !serving_};
+}
+
 const std::string& owner_service::encoded_waits() {
     const mono_time estimated_at = owner_.waits().updated_at();
     if (!serving_ || estimated_at == mono_time{} ||
@@ -211,8 +284,6 @@
 }
 
 void owner_service::start_loading() {
-    for (const auto& follower : job_followers_)
-        follower->start();
     target_follower_->start();
     for (int partition = 0; partition < progress_writer_.partition_count();
          ++partition)
@@ -236,11 +307,37 @@
                 handle_progress_record(record);
             if (page.has_more)
                 return load_progress(partition, page.last_key);
-            --progress_partitions_to_load_;
-            start_serving_if_loaded();
+            if (--progress_partitions_to_load_ == 0)
+                load_jobs();
         }));
 }
 
+void owner_service::load_jobs() {
+    // Ended jobs are kept without their definitions, so that the records of
+    // all jobs of the retention time need not fit into memory at once.
+    const owner_clock at = clock();
+    for (auto position = loaded_progress_.begin();
+         position != loaded_progress_.end();) {
+        const auto current = position++;
+        try {
+            const std::string& value = current->second.value;
+            auto ended = decode_end_without_runs(current->first, value);
+            if (!ended)
+                ended = decode_ended_job(current->first, value, at.wall_ms);
+            if (ended) {
+                owner_.restore_job(std::move(*ended), at);
+                loaded_progress_.erase(current);
+            }
+        } catch (const decode_error& failure) {
+            log_event(
+                log_level::error, "progress_unreadable",
+                {{"job", current->first.value}, {"cause", failure.what()}});
+        }
+    }
+    for (const auto& follower : job_followers_)
+        follower->start();
+}
+
 void owner_service::handle_progress_record(const keyed_record& record) {
     if (record.key.size() <= KEY_PREFIX_BYTES || record.value.empty())
         return;
@@ -264,15 +361,16 @@
         !target_follower_->loaded())
         return;
     const owner_clock at = clock();
-    const auto stored_jobs = std::exchange(loaded_jobs_, {});
-    for (const auto& [id, record] : stored_jobs)
-        restore_job(id, record, at);
     // The progress of a job whose record can't be decoded here is kept: another
     // version may decode it.
+    while (!loaded_jobs_.empty()) {
+        const auto record = loaded_jobs_.extract(loaded_jobs_.begin());
+        restore_job(record.key(), record.mapped(), at);
+        loaded_progress_.erase(record.key());
+    }
     std::vector<std::string> orphans;
     for (const auto& [id, progress] : std::exchange(loaded_progress_, {}))
-        if (!stored_jobs.contains(id))
-            orphans.push_back(progress_key(id));
+        orphans.push_back(progress_key(id));
     progress_writer_.delete_keys(orphans);
     owner_.take_over(at);
     serving_ = true;
@@ -291,12 +389,6 @@
                                 const owner_clock& at) {
     const auto progress = loaded_progress_.find(id);
     try {
-        // Most jobs have ended; they are restored without decoding their job
-        // records.
-        if (progress != loaded_progress_.end())
-            if (auto ended =
-                    decode_ended_job(id, progress->second.value, at.wall_ms))
-                return owner_.restore_job(std::move(*ended), at);
         job_entry job{.record = decode_job_record(record)};
         if (progress != loaded_progress_.end())
             apply_progress(job, progress->second.value);
@@ -340,9 +432,11 @@
             else
                 loaded_cancels_.emplace(*cancelled, requester);
         } else if (record.key == job_key(id)) {
+            if (owner_.jobs().find(id) != nullptr)
+                return;
             if (!serving_)
                 loaded_jobs_.try_emplace(id, record.value);
-            else if (owner_.jobs().find(id) == nullptr)
+            else
                 owner_.job_accepted(decode_job_record(record.value), clock());
         }
     } catch (const decode_error& failure) {
@@ -393,6 +487,7 @@
                        in_touch.begin(), in_touch.end()))
         submissions_.announcements_lost(event_loop::now());
     hosts_in_touch_ = std::move(in_touch);
+    update_state_limit();
     owner_.set_hosts(hosts);
     schedule_tick();
 }
--- a/src/front/owner_service.hpp
+++ b/src/front/owner_service.hpp
@@ -70,6 +70,19 @@
      * without this owner's knowledge.
      */
     [[nodiscard]] bool never_stored(const job_id& job);
+    /**
+     * Decides whether a host may store a job or, if the job is known, a
+     * request to cancel it.
+     */
+    [[nodiscard]] dispatch::admission
+    admit(const job_id& job, const dispatch::organisation_id& organisation,
+          std::size_t state_bytes);
+    /** The same for a request to cancel a job, known or not. */
+    [[nodiscard]] dispatch::admission
+    admit_cancel(const job_id& job,
+                 const dispatch::organisation_id& organisation);
+    /** What each host may accept without asking. */
+    [[nodiscard]] received_grant grant();
     /** Expected waits for other hosts; empty if there are no recent ones. */
     [[nodiscard]] const std::string& encoded_waits();
     /** State of the cell's jobs and targets, and the decisions on them. */
@@ -109,9 +122,18 @@
         std::string value;
     };
 
+    /** Sets the limit on the state of jobs that the smallest host can bear. */
+    void update_state_limit();
+    /**
+     * Lets all hosts announce what they store while much of the limit is used,
+     * since only then refusals have to be told from lost answers.
+     */
+    void update_announcing();
     void follow_jobs();
     /** Loads the stored state once earlier owners are fenced. */
     void start_loading();
+    /** Loads the jobs once the progress of all of them is known. */
+    void load_jobs();
     /** Loads a page of progress. @param after Last key loaded so far. */
     void load_progress(int partition, const std::string& after);
     void handle_progress_record(const platform::keyed_record& record);
@@ -156,6 +178,7 @@
     std::map<job_id, loaded_progress> loaded_progress_;
     std::set<std::string> target_keys_;
     dispatch::submission_table submissions_;
+    bool announcing_ = false;          ///< All hosts announce what they store.
     std::set<host_id> hosts_in_touch_; ///< As of the last `update_hosts`.
     std::string encoded_waits_;
     mono_time encoded_waits_at_{}; ///< When those were estimated.
--- a/src/front/topic_follower.cpp
+++ b/src/front/topic_follower.cpp
@@ -81,7 +81,7 @@
         return !loading_keys_.contains(item.first);
     });
     loaded_ = true;
-    on_loaded_(loading_keys_);
+    on_loaded_(std::exchange(loading_keys_, {}));
     if (!alive.expired())
         read();
 }
--- a/src/net/resource_shares.cpp
+++ b/src/net/resource_shares.cpp
@@ -12,6 +12,8 @@
 constexpr std::size_t MIN_SHARE = 2 * MEGABYTE;
 constexpr std::size_t MAX_ANSWER = 16 * MEGABYTE;
 constexpr std::size_t MAX_FRAME = 64 * MEGABYTE;
+/** The store answers with pages of up to 1 MB, in base64. */
+constexpr std::size_t MIN_STORE_ANSWER = 2 * MEGABYTE;
 /** A host of this memory has one more connection of a peer. */
 constexpr std::size_t MEMORY_PER_PEER = 640U << 10U;
 /** The same for connections to targets. */
@@ -48,13 +50,15 @@
         return shares;
     }
     shares.bodies = std::max(memory_bytes / 32, MIN_SHARE);
+    shares.job_state = memory_bytes * 5 / 32;
+    shares.append = std::max(memory_bytes / 320, MEGABYTE / 2);
     shares.answers = std::max(memory_bytes * 3 / 32, MIN_SHARE);
     shares.peers = std::max(memory_bytes / 32, MIN_SHARE);
     shares.store_answer =
-        std::clamp(memory_bytes / 20, MIN_SHARE / 4 * 3, MAX_ANSWER);
+        std::clamp(memory_bytes / 80, MIN_STORE_ANSWER, MAX_ANSWER);
     // Decoded JSON may take some twenty times the size of its text.
     shares.target_answer =
-        std::clamp(memory_bytes / 320, MEGABYTE / 2, MAX_ANSWER);
+        std::clamp(memory_bytes / 640, MEGABYTE / 4, MAX_ANSWER);
     // While a buffer grows, its old and its new part count.
     shares.peer_frame = std::min(shares.peers / 5 * 2, MAX_FRAME);
     shares.readiness =
@@ -63,7 +67,7 @@
     shares.metrics = std::min(shares.metrics, shares.readiness);
     shares.clients = std::min(
         shares.clients,
-        std::max<std::size_t>(memory_bytes * 7 / 32 / CONNECTION_BYTES, 16));
+        std::max<std::size_t>(memory_bytes * 6 / 32 / CONNECTION_BYTES, 16));
     shares.peer_connections =
         std::min(shares.peer_connections,
                  std::max<std::size_t>(memory_bytes / MEMORY_PER_PEER, 64));
--- a/src/net/resource_shares.hpp
+++ b/src/net/resource_shares.hpp
@@ -9,6 +9,8 @@
 struct resource_shares {
     // Memory in bytes; 0: no limit.
     std::size_t bodies = 0;        ///< Bodies of clients' requests.
+    std::size_t job_state = 0;     ///< State of accepted jobs in the owner.
+    std::size_t append = 0;        ///< Records in one append of requests.
     std::size_t answers = 0;       ///< Answers to calls of this process.
     std::size_t peers = 0;         ///< Frames of other processes.
     std::size_t store_answer = 0;  ///< One answer of the store.
@@ -28,9 +30,9 @@
  * copies of the headers, and what the kernel has received but the process has
  * not read, or the client has not.
  */
-constexpr std::size_t CONNECTION_BYTES = 96U << 10U;
+constexpr std::size_t CONNECTION_BYTES = 80U << 10U;
 /** Sizes of the kernel's buffers of a connection, which doubles them. */
-constexpr int RECEIVE_BUFFER_BYTES = 16 << 10;
+constexpr int RECEIVE_BUFFER_BYTES = 8 << 10;
 constexpr int SEND_BUFFER_BYTES = 8 << 10;
 /** Targets send short answers over many connections. */
 constexpr int TARGET_RECEIVE_BUFFER_BYTES = 8 << 10;
