HTTP server: make room for new clients when connections are scarce

Callers saw: no answer while some hundred clients, each sending a few hundred bytes every 0.25 s, were connected; largest jobs got 503 as long as slow bodies held the budget. Cause: only a connection below 1,024 bytes a second was closed, so clients just above that held all connections, and the kernel's queue was full of the others. A slow body kept its part of the budget until its end. Change: beyond seven eighths of the connections those that have been longest in their phase (idle, receiving, sending), at least 250 ms, are closed, down to half of that; a connection older than 1 s is closed after its response. While bodies are refused over the budget, requests that take longer than 1 s to arrive are closed. Requests that are processed are never cut. The kernel queues 512 connections; answers and connections have slightly smaller shares for that. Why it works: a client can hold a connection for 250 ms without a complete request, so the queue moves on however fast its bytes come.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -14,6 +14,7 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <charconv>
 #include <cstring>
 #include <set>
@@ -40,6 +41,20 @@
 /** Connections are scarce from three quarters of their limit on. */
 constexpr size_t SCARCE_NUMERATOR = 3;
 constexpr size_t SCARCE_DENOMINATOR = 4;
+/** From seven eighths of their limit on, connections make room for others. */
+constexpr size_t SHED_NUMERATOR = 7;
+constexpr size_t SHED_DENOMINATOR = 8;
+/** Connections are kept for this long in one phase of a request. */
+constexpr millis MIN_SHED_AGE{250};
+/**
+ * While bodies are refused over the budget, a request may take this long to
+ * arrive: the largest body does over a slow link.
+ */
+constexpr millis MAX_RECEIVE_AGE{1000};
+/** Period at which connections are closed while they are too many. */
+constexpr millis SHED_PERIOD{50};
+/** An older connection is closed after a response while they are too many. */
+constexpr millis MAX_AGE_AT_LIMIT{1000};
 /** After a refusal, slow connections are closed early for this time. */
 constexpr millis PRESSURE_TIME{3000};
 constexpr int RETRY_AFTER_S = 1;
@@ -119,6 +134,11 @@
     bool served = false;    ///< A request has been completed.
     bool suspended = false; ///< The handler has not answered yet.
     bool refused = false;   ///< Its peer may still be sending.
+    bool receiving = false; ///< A request is not complete.
+    bool closing = false;   ///< The library has not closed it yet.
+    mono_time opened_at{};
+    /** Begin of its phase: idle, receiving, processing or sending. */
+    mono_time phase_since{};
 };
 
 /** Adds one query argument to a map. */
@@ -199,6 +219,24 @@
     void note_refusal(MHD_Connection* connection, int status);
     /** Closes connections on which too few bytes move. */
     void close_stalled_connections();
+    /** Connections beyond this number make room for others. */
+    [[nodiscard]] size_t shed_limit() const {
+        return limits_.connections * SHED_NUMERATOR / SHED_DENOMINATOR;
+    }
+    /**
+     * Closes the connections that have been longest in their phase, but never
+     * while their requests are processed, so that new clients are accepted
+     * whatever the others do.
+     */
+    void shed_connections();
+    /** Closes requests that arrive slowly while others are refused for them. */
+    void shed_receiving(mono_time now);
+    /** Calls `shed_connections` soon, unless a call is due. */
+    void schedule_shed(millis delay);
+    /** Tells whether a connection is closed after its next response. */
+    [[nodiscard]] bool closes_after_response(MHD_Connection* connection);
+    /** Closes a connection without a response. */
+    void close_connection(MHD_Connection* connection, connection_state& state);
     void count(const char* metric) {
         if (limits_.metrics != nullptr)
             ++limits_.metrics->counter(metric);
@@ -220,6 +258,7 @@
     std::set<MHD_Connection*> idle_connections_;
     std::unordered_map<MHD_Connection*, connection_state> connections_;
     lingering_sockets lingering_;
+    bool shed_scheduled_ = false;
     mono_time refused_at_{}; ///< When the budget was last exhausted.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
@@ -311,7 +350,10 @@
     auto* server = static_cast<impl*>(self);
     if (*state == nullptr) {
         server->idle_connections_.erase(connection);
-        server->connections_[connection].progress.reset();
+        connection_state& at = server->connections_[connection];
+        at.progress.reset();
+        at.phase_since = event_loop::now();
+        at.receiving = true;
         auto* begun = server->begin_request(connection, url, method);
         *state = begun;
         const int refusal = server->check_declared(connection, **begun);
@@ -339,7 +381,8 @@
         return MHD_YES;
     }
     if (exchange->answered)
-        return queue_response(connection, exchange->response, server->draining);
+        return queue_response(connection, exchange->response,
+                              server->closes_after_response(connection));
     if (exchange->body_too_large)
         return queue_response(connection, too_large_response(), true);
     return server->dispatch(exchange);
@@ -382,8 +425,11 @@
 
 void http_server::impl::note_refusal(MHD_Connection* connection, int status) {
     connections_[connection].refused = true;
-    if (status == 503)
+    connections_[connection].receiving = false;
+    if (status == 503) {
         refused_at_ = event_loop::now();
+        schedule_shed(SHED_PERIOD);
+    }
     count(status == 413 ? "refused_body_too_large" : "refused_over_budget");
 }
 
@@ -413,8 +459,7 @@
             continue;
         if (kept && !at_limit)
             continue;
-        // The library sees the end of the connection and closes it.
-        shutdown(handle, SHUT_RDWR);
+        close_connection(connection, state);
         count("closed_without_progress");
         closed = true;
     }
@@ -422,9 +467,86 @@
         schedule_run();
 }
 
+void http_server::impl::close_connection(MHD_Connection* connection,
+                                         connection_state& state) {
+    // The library sees the end of the connection and closes it.
+    shutdown(socket_of(connection), SHUT_RDWR);
+    state.closing = true;
+}
+
+bool http_server::impl::closes_after_response(MHD_Connection* connection) {
+    connection_state& state = connections_[connection];
+    const mono_time now = event_loop::now();
+    state.phase_since = now;
+    if (draining)
+        return true;
+    const bool closes = limits_.budget != nullptr &&
+                        connections_.size() > shed_limit() &&
+                        now - state.opened_at > MAX_AGE_AT_LIMIT;
+    if (closes)
+        count("closed_after_response");
+    return closes;
+}
+
+void http_server::impl::shed_connections() {
+    shed_scheduled_ = false;
+    std::vector<std::pair<mono_time, MHD_Connection*>> candidates;
+    size_t open = 0;
+    const mono_time now = event_loop::now();
+    for (const auto& [connection, state] : connections_) {
+        if (state.closing)
+            continue;
+        ++open;
+        if (!state.suspended && now - state.phase_since >= MIN_SHED_AGE)
+            candidates.emplace_back(state.phase_since, connection);
+    }
+    if (open <= shed_limit())
+        return shed_receiving(now);
+    // Room for many at once: each waits behind all that came before it.
+    const size_t closing = std::min(open - shed_limit() / 2, candidates.size());
+    std::partial_sort(candidates.begin(),
+                      candidates.begin() + static_cast<std::ptrdiff_t>(closing),
+                      candidates.end());
+    for (size_t i = 0; i < closing; ++i) {
+        MHD_Connection* connection = candidates[i].second;
+        close_connection(connection, connections_[connection]);
+        count("closed_for_others");
+    }
+    if (closing > 0)
+        schedule_run();
+    schedule_shed(SHED_PERIOD);
+}
+
+void http_server::impl::shed_receiving(mono_time now) {
+    if (now - refused_at_ >= PRESSURE_TIME)
+        return;
+    bool closed = false;
+    for (auto& [connection, state] : connections_) {
+        if (state.closing || !state.receiving ||
+            now - state.phase_since < MAX_RECEIVE_AGE)
+            continue;
+        close_connection(connection, state);
+        count("closed_for_others");
+        closed = true;
+    }
+    if (closed)
+        schedule_run();
+    schedule_shed(SHED_PERIOD);
+}
+
+void http_server::impl::schedule_shed(millis delay) {
+    if (std::exchange(shed_scheduled_, true))
+        return;
+    loop_.after(delay, [this, alive = std::weak_ptr(alive_)] {
+        if (!alive.expired())
+            shed_connections();
+    });
+}
+
 MHD_Result
 http_server::impl::dispatch(const std::shared_ptr<exchange_state>& exchange) {
     exchange->dispatched = true;
+    connections_[exchange->connection].receiving = false;
     ++in_flight;
     handle_(exchange->request, [this, exchange, alive = std::weak_ptr(alive_)](
                                    const http_response& response) {
@@ -446,7 +568,7 @@
         exchange->request = {};
     if (exchange->answered)
         return queue_response(exchange->connection, exchange->response,
-                              draining);
+                              closes_after_response(exchange->connection));
     exchange->suspended = true;
     suspended_.insert(exchange.get());
     connections_[exchange->connection].suspended = true;
@@ -479,8 +601,14 @@
                                       MHD_ConnectionNotificationCode code) {
     auto* server = static_cast<impl*>(self);
     if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+        const mono_time now = event_loop::now();
         server->idle_connections_.insert(connection);
-        server->connections_[connection] = {};
+        server->connections_[connection] = {.opened_at = now,
+                                            .phase_since = now};
+        // Later: the library is accepting connections.
+        if (server->limits_.budget != nullptr &&
+            server->connections_.size() > server->shed_limit())
+            server->schedule_shed(millis(0));
         return;
     }
     server->idle_connections_.erase(connection);
@@ -503,7 +631,9 @@
     connection_state& at = server->connections_[connection];
     at.served = true;
     at.suspended = false;
+    at.receiving = false;
     at.progress.reset();
+    at.phase_since = event_loop::now();
     if (*state == nullptr)
         return;
     auto* exchange = static_cast<std::shared_ptr<exchange_state>*>(*state);
--- a/src/net/resource_shares.cpp
+++ b/src/net/resource_shares.cpp
@@ -52,7 +52,7 @@
     shares.bodies = std::max(memory_bytes / 32, MIN_SHARE);
     shares.job_state = memory_bytes * 5 / 32;
     shares.append = std::max(memory_bytes / 320, MEGABYTE / 2);
-    shares.answers = std::max(memory_bytes * 3 / 32, MIN_SHARE);
+    shares.answers = std::max(memory_bytes * 5 / 64, MIN_SHARE);
     shares.peers = std::max(memory_bytes / 32, MIN_SHARE);
     shares.store_answer =
         std::clamp(memory_bytes / 80, MIN_STORE_ANSWER, MAX_ANSWER);
@@ -67,7 +67,7 @@
     shares.metrics = std::min(shares.metrics, shares.readiness);
     shares.clients = std::min(
         shares.clients,
-        std::max<std::size_t>(memory_bytes * 6 / 32 / CONNECTION_BYTES, 16));
+        std::max<std::size_t>(memory_bytes * 11 / 64 / CONNECTION_BYTES, 16));
     shares.peer_connections =
         std::min(shares.peer_connections,
                  std::max<std::size_t>(memory_bytes / MEMORY_PER_PEER, 64));
--- a/src/net/resource_shares.hpp
+++ b/src/net/resource_shares.hpp
@@ -39,7 +39,7 @@
 /** The store sends more than others, over few connections. */
 constexpr int STORE_RECEIVE_BUFFER_BYTES = 64 << 10;
 /** Connections that the kernel accepts before the process does. */
-constexpr int CLIENT_BACKLOG = 128;
+constexpr int CLIENT_BACKLOG = 512;
 
 /** @param memory_bytes 0: not stated; then only descriptors are divided. */
 resource_shares divide_resources(std::size_t memory_bytes,
