Gate, relay, placer: limit the memory of request bodies

Callers saw: a gate, relay or placer whose memory grew with each body that stopped short of its end. Cause: only rattan_front had a budget for bodies. A gate took 1,000 connections with bodies of 1 MB, a relay 200 of 4 MB, a placer 100 of 1 MB. Change: each has a budget for bodies (max_body_memory_mb, 16 MB by default), small socket buffers, and closes connections like rattan_front. Long responses to GET requests, such as state dumps, count towards the budget until they are read; the same holds for rattan_front. Why it works: a body counts in full once its headers are read, so the sum over all connections is the budget.

--- a/src/gate/gate_service.cpp
+++ b/src/gate/gate_service.cpp
@@ -28,7 +28,10 @@
 gate_service::gate_service(event_loop& loop, gate_settings settings)
     : loop_(loop), settings_(std::move(settings)), client_(loop, RUNNER_LIMITS),
       runner_client_(client_), rpc_(loop, settings_.process.rpc),
-      http_(loop, settings_.process.http, settings_.caller_limits,
+      body_budget_(
+          make_body_budget(settings_.process, settings_.caller_limits)),
+      http_(loop, settings_.process.http,
+            bounded_limits(settings_.caller_limits, body_budget_, metrics_),
             [this](const http_request& request, const http_responder& answer) {
                 on_http(request, answer);
             }),
--- a/src/gate/gate_service.hpp
+++ b/src/gate/gate_service.hpp
@@ -170,6 +170,7 @@
     http_client client_;
     http_runner_client runner_client_;
     rpc_server rpc_;
+    caller_budget body_budget_; ///< Of callers' requests.
     http_server http_;
     stream_feed feed_;
     quota_holder quota_;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -66,6 +66,7 @@
     http_request request;
     budget_claim claim; ///< Counts the capacity of the body.
     http_response response;
+    bool may_be_refused = false; ///< A lost answer has no effect.
     bool body_too_large = false;
     bool refused = false; ///< The connection is closed without a handler.
     bool dispatched = false;
@@ -211,6 +212,8 @@
                                                    const char* method);
     /** Passes a complete request to the handler. */
     MHD_Result dispatch(const std::shared_ptr<exchange_state>& exchange);
+    /** Queues the handler's response if the budget has room for it. */
+    MHD_Result respond(exchange_state& exchange);
     /** Checks a body's declared length. @return Status to refuse it, or 0. */
     int check_declared(MHD_Connection* connection, exchange_state& exchange);
     /** Appends to a body. @return `MHD_NO` if the request is refused. */
@@ -327,6 +330,7 @@
     auto exchange = std::make_shared<exchange_state>(limits_.budget);
     exchange->connection = connection;
     exchange->request.method = method;
+    exchange->may_be_refused = exchange->request.method == MHD_HTTP_METHOD_GET;
     exchange->request.path = url;
     exchange->request.authorization =
         header_value(connection, MHD_HTTP_HEADER_AUTHORIZATION);
@@ -381,13 +385,25 @@
         return MHD_YES;
     }
     if (exchange->answered)
-        return queue_response(connection, exchange->response,
-                              server->closes_after_response(connection));
+        return server->respond(*exchange);
     if (exchange->body_too_large)
         return queue_response(connection, too_large_response(), true);
     return server->dispatch(exchange);
 }
 
+MHD_Result http_server::impl::respond(exchange_state& exchange) {
+    const http_response response = std::exchange(exchange.response, {});
+    // The library copies the body, which remains until the client has read it.
+    const std::size_t bytes = response.body.size();
+    const bool close = closes_after_response(exchange.connection);
+    if (limits_.budget == nullptr || !exchange.may_be_refused ||
+        bytes <= caller_budget::SMALL_BYTES ||
+        exchange.claim.grow(exchange.claim.bytes() + bytes))
+        return queue_response(exchange.connection, response, close);
+    count("refused_over_budget");
+    return queue_response(exchange.connection, over_budget_response(), true);
+}
+
 int http_server::impl::check_declared(MHD_Connection* connection,
                                       exchange_state& exchange) {
     if (limits_.budget == nullptr)
@@ -567,8 +583,7 @@
     if (limits_.budget != nullptr)
         exchange->request = {};
     if (exchange->answered)
-        return queue_response(exchange->connection, exchange->response,
-                              closes_after_response(exchange->connection));
+        return respond(*exchange);
     exchange->suspended = true;
     suspended_.insert(exchange.get());
     connections_[exchange->connection].suspended = true;
--- a/src/net/program_runtime.cpp
+++ b/src/net/program_runtime.cpp
@@ -1,6 +1,7 @@
 #include "net/program_runtime.hpp"
 
 #include "base/log_func.hpp"
+#include "net/resource_shares.hpp"
 #include "rattan/error_type.hpp"
 
 #include <gflags/gflags.h>
@@ -14,6 +15,9 @@
 namespace {
 
 constexpr int EXIT_BAD_SETTINGS = 2;
+constexpr std::int64_t DEFAULT_BODY_MEMORY_MB = 16;
+constexpr std::int64_t MAX_BODY_MEMORY_MB = 4096;
+constexpr unsigned BYTES_PER_MB_SHIFT = 20;
 
 } // namespace
 
@@ -31,9 +35,32 @@
     settings.rpc = reader.address("rpc");
     settings.relays = reader.addresses("relays", 0);
     settings.json_log = reader.text("log", "json") == "json";
+    settings.body_memory = static_cast<std::size_t>(reader.number(
+                               "max_body_memory_mb", 1, MAX_BODY_MEMORY_MB,
+                               DEFAULT_BODY_MEMORY_MB))
+                           << BYTES_PER_MB_SHIFT;
     return settings;
 }
 
+caller_budget make_body_budget(const process_settings& settings,
+                               const http_limits& limits) {
+    // While the largest body grows, its old and its new buffer count, and
+    // large ones may not use the last quarter.
+    constexpr std::size_t MIN_BODIES = 3;
+    return caller_budget(
+        std::max(settings.body_memory, limits.body_bytes * MIN_BODIES));
+}
+
+http_limits bounded_limits(http_limits limits, caller_budget& budget,
+                           metrics_registry& metrics) {
+    limits.budget = &budget;
+    limits.receive_buffer_bytes = RECEIVE_BUFFER_BYTES;
+    limits.send_buffer_bytes = SEND_BUFFER_BYTES;
+    limits.backlog = CLIENT_BACKLOG;
+    limits.metrics = &metrics;
+    return limits;
+}
+
 void log_state_dump(const nlohmann::json& dump) {
     log_event(log_level::info, "state_dump", {{"state", dump.dump()}});
 }
--- a/src/net/program_runtime.hpp
+++ b/src/net/program_runtime.hpp
@@ -23,11 +23,23 @@
     std::string rpc;                 ///< Listen address for RPC.
     std::vector<std::string> relays; ///< The one on this entry host first.
     bool json_log = true;
+    std::size_t body_memory = 0; ///< Limit on all request bodies, in bytes.
 };
 
 /** Reads the common settings; the caller reads those of the program. */
 process_settings read_process_settings(settings_reader& reader);
 
+/** Budget of the bodies on the HTTP port of a process. */
+caller_budget make_body_budget(const process_settings& settings,
+                               const http_limits& limits);
+
+/**
+ * Adds a budget to the limits of an HTTP port, and small socket buffers, so
+ * that the memory of a process does not grow with its clients.
+ */
+http_limits bounded_limits(http_limits limits, caller_budget& budget,
+                           metrics_registry& metrics);
+
 /** Writes a state dump to the log output of the process, as one line. */
 void log_state_dump(const nlohmann::json& dump);
 
--- a/src/placer/placer_service.cpp
+++ b/src/placer/placer_service.cpp
@@ -31,7 +31,9 @@
 placer_service::placer_service(event_loop& loop, placer_settings settings)
     : loop_(loop), settings_(std::move(settings)), client_(loop, WORKER_LIMITS),
       workers_(client_), rpc_(loop, settings_.process.rpc),
-      http_(loop, settings_.process.http, ADMIN_LIMITS,
+      body_budget_(make_body_budget(settings_.process, ADMIN_LIMITS)),
+      http_(loop, settings_.process.http,
+            bounded_limits(ADMIN_LIMITS, body_budget_, metrics_),
             [this](const http_request& request,
                    const http_server::responder& answer) {
                 on_http(request, answer);
--- a/src/placer/placer_service.hpp
+++ b/src/placer/placer_service.hpp
@@ -55,6 +55,7 @@
     http_client client_;
     http_worker_client workers_;
     rpc_server rpc_;
+    caller_budget body_budget_; ///< Of operators' requests.
     http_server http_;
     placer_base placer_;
     stream_feed feed_;
--- a/src/relay/relay_service.cpp
+++ b/src/relay/relay_service.cpp
@@ -21,7 +21,9 @@
       log_(client_, settings_.platform),
       host_client_(client_, settings_.platform),
       rpc_(loop, settings_.process.rpc),
-      http_(loop, settings_.process.http, ADMIN_LIMITS,
+      body_budget_(make_body_budget(settings_.process, ADMIN_LIMITS)),
+      http_(loop, settings_.process.http,
+            bounded_limits(ADMIN_LIMITS, body_budget_, metrics_),
             [this](const http_request& request,
                    const http_server::responder& answer) {
                 on_http(request, answer);
--- a/src/relay/relay_service.hpp
+++ b/src/relay/relay_service.hpp
@@ -106,6 +106,7 @@
     http_log_client log_;
     http_host_list_client host_client_;
     rpc_server rpc_;
+    caller_budget body_budget_; ///< Of operators' requests.
     http_server http_;
     std::vector<std::unique_ptr<rpc_client>> peers_;
     std::unique_ptr<append_queue> appends_; ///< Null until caught up once.
