Owner: cheaper grants; limits that fit the smallest host

Cause: each heartbeat reply copied the records of all hosts to count them: at 300 hosts the busiest one took 58% of a core where it took 32% before. The ports for health checks and metrics had the long kernel queue of the clients' port, and a frame of 2 MB could make a list of a million entries, 32 MB. Change: the count that the owner keeps anyway; a queue of 32 for these ports; at most 65,536 entries in a list; the share of job state is 3/20 of the memory.

--- a/src/front/front_service.cpp
+++ b/src/front/front_service.cpp
@@ -166,7 +166,7 @@
     if (settings_.memory_bytes > 0) {
         limits.receive_buffer_bytes = RECEIVE_BUFFER_BYTES;
         limits.send_buffer_bytes = SEND_BUFFER_BYTES;
-        limits.backlog = CLIENT_BACKLOG;
+        limits.backlog = CHECK_BACKLOG;
     }
     return limits;
 }
@@ -203,6 +203,8 @@
         });
     http_limits client_limits = server_limits(shares_.clients);
     client_limits.body_bytes = DEFAULT_BODY_LIMIT;
+    if (settings_.memory_bytes > 0)
+        client_limits.backlog = CLIENT_BACKLOG;
     client_limits.captured_headers = {platform::DEADLINE_HEADER};
     client_server_ = std::make_unique<http_server>(
         loop_, settings_.client_address, client_limits,
--- a/src/front/owner_service.cpp
+++ b/src/front/owner_service.cpp
@@ -263,9 +263,8 @@
 
 received_grant owner_service::grant() {
     update_announcing();
-    return {.share = {.bytes = host_share(
-                          owner_.state().left(),
-                          context_.members.members_in_touch().size()),
+    return {.share = {.bytes = host_share(owner_.state().left(),
+                                          hosts_in_touch_.size() + 1),
                       .refused = owner_.state().over_share()},
             .announce = announcing_,
             .loading = !serving_};
--- a/src/net/resource_shares.cpp
+++ b/src/net/resource_shares.cpp
@@ -50,7 +50,7 @@
         return shares;
     }
     shares.bodies = std::max(memory_bytes / 32, MIN_SHARE);
-    shares.job_state = memory_bytes * 5 / 32;
+    shares.job_state = memory_bytes * 3 / 20;
     shares.append = std::max(memory_bytes / 320, MEGABYTE / 2);
     shares.answers = std::max(memory_bytes * 5 / 64, MIN_SHARE);
     shares.peers = std::max(memory_bytes / 32, MIN_SHARE);
--- a/src/net/resource_shares.hpp
+++ b/src/net/resource_shares.hpp
@@ -40,6 +40,8 @@
 constexpr int STORE_RECEIVE_BUFFER_BYTES = 64 << 10;
 /** Connections that the kernel accepts before the process does. */
 constexpr int CLIENT_BACKLOG = 512;
+/** The same for health checks and metrics. */
+constexpr int CHECK_BACKLOG = 32;
 
 /** @param memory_bytes 0: not stated; then only descriptors are divided. */
 resource_shares divide_resources(std::size_t memory_bytes,
--- a/src/net/thrift_codec.hpp
+++ b/src/net/thrift_codec.hpp
@@ -16,7 +16,7 @@
 constexpr std::size_t MAX_FRAME_BYTES = 64U << 20U;
 
 /** Limit on the number of entries of each list in a message. */
-constexpr std::int32_t MAX_LIST_ENTRIES = 1 << 20;
+constexpr std::int32_t MAX_LIST_ENTRIES = 1 << 16;
 
 /** Encodes a Thrift struct with the compact protocol. */
 template <typename Message>
