Owner: do not limit hosts that state no memory; keep a reservation

Cause: an owner whose host states no memory granted a share of 0 bytes, so each host asked it about each job and answered 504 without it; and such an owner lifted the limit of the others. A repeated submission of a job that was admitted but not read back lost its room when the limit was reached, and its caller got 504. Change: the smallest stated memory counts; without any the grant is unlimited. A reservation that covers the job is renewed.

--- a/src/dispatch/state_reservations.cpp
+++ b/src/dispatch/state_reservations.cpp
@@ -5,7 +5,12 @@
 bool state_reservations::reserve(const job_id& job,
                                  const organisation_id& organisation,
                                  std::size_t bytes, mono_time now) {
-    release(job); // A repeated submission replaces the one before.
+    const auto earlier = reservations_.find(job);
+    if (earlier != reservations_.end() && earlier->second.bytes >= bytes) {
+        earlier->second.made_at = now; // A repeated submission.
+        return true;
+    }
+    release(job);
     if (!budget_.admits(organisation, bytes))
         return false;
     budget_.add(organisation, bytes);
--- a/src/front/owner_service.cpp
+++ b/src/front/owner_service.cpp
@@ -63,6 +63,8 @@
 constexpr std::size_t ANNOUNCE_FROM_DIVISOR = 4;
 /** They do so until less than this part is used. */
 constexpr std::size_t ANNOUNCE_UNTIL_DIVISOR = 8;
+/** Grant where no host states its memory. */
+constexpr std::size_t UNLIMITED_SHARE = std::size_t{1} << 50U;
 /** After this time all hosts in touch know that they have to announce. */
 constexpr millis ANNOUNCE_DELAY{3000};
 constexpr size_t KEY_PREFIX_BYTES = 2; ///< Length of `j/`, `c/` and `p/`.
@@ -211,10 +213,11 @@
 void owner_service::update_state_limit() {
     const platform::platform_settings& own = context_.settings;
     std::size_t memory_bytes = own.memory_bytes;
-    for (const auto& [host, member] : context_.members.members())
-        if (member.memory_bytes > 0)
-            memory_bytes = std::min(
-                memory_bytes, static_cast<std::size_t>(member.memory_bytes));
+    for (const auto& [host, member] : context_.members.members()) {
+        const auto stated = static_cast<std::size_t>(member.memory_bytes);
+        if (stated > 0 && (memory_bytes == 0 || stated < memory_bytes))
+            memory_bytes = stated;
+    }
     owner_.set_state_limit(
         divide_resources(memory_bytes, own.max_descriptors).job_state);
 }
@@ -263,9 +266,12 @@
 
 received_grant owner_service::grant() {
     update_announcing();
-    return {.share = {.bytes = host_share(owner_.state().left(),
-                                          hosts_in_touch_.size() + 1),
-                      .refused = owner_.state().over_share()},
+    const state_budget& state = owner_.state();
+    return {.share = {.bytes = state.limit() == 0
+                                   ? UNLIMITED_SHARE
+                                   : host_share(state.left(),
+                                                hosts_in_touch_.size() + 1),
+                      .refused = state.over_share()},
             .announce = announcing_,
             .loading = !serving_};
 }
--- a/tests/process_job_overload_test.cpp
+++ b/tests/process_job_overload_test.cpp
@@ -118,6 +118,21 @@
     expect_sound_with(plan);
 }
 
+// Guards against large jobs that leave no room for the small ones of the same
+// organisation.
+TEST_F(job_overload_test, small_job_beside_large_jobs) {
+    start_front();
+    client_crowd crowd(front_ip_, FRONT_PORT,
+                       submissions(SENDERS, LARGE_JOBS_EACH, large_job()));
+    wait_for_crowd(crowd);
+    const std::string small = job_text(1, "");
+    wait_for("a small job to be accepted", [&] {
+        return send_to_front("POST", client_job_id(SENDERS, 1), small).status ==
+               200;
+    });
+    expect_sound();
+}
+
 // Guards against a job that starts more repeats than there is memory for.
 TEST_F(job_overload_test, jobs_with_many_repeats) {
     json job = json::parse(job_text(1, MISSING_LABEL));
--- a/tests/state_budget_test.cpp
+++ b/tests/state_budget_test.cpp
@@ -113,6 +113,9 @@
     EXPECT_TRUE(reservations.reserve({"a"}, FIRST, SMALL, NOW));
     EXPECT_TRUE(reservations.reserve({"b"}, FIRST, SMALL, NOW + millis(5)));
     EXPECT_EQ(budget.used(), 2 * SMALL);
+    budget.set_limit(2 * SMALL); // A smaller host has joined.
+    EXPECT_TRUE(reservations.reserve({"a"}, FIRST, SMALL, NOW));
+    EXPECT_FALSE(reservations.reserve({"c"}, FIRST, SMALL, NOW));
     reservations.release({"b"});
     EXPECT_EQ(budget.used(), SMALL);
     reservations.expire(NOW);
