Count runs with their jobs, bound runs of a target and a gate's answers

Callers saw: nothing yet. Found by reading: a task without demand runs beside any number of others, and its run was not counted with its job; a target with some thousand runs lists more than one answer may hold, and the owner then hears nothing from it; a gate kept up to 4 KB of each of 200,000 answers, 800 MB; a host that joins late with little memory could take over more jobs than fit. Change: the estimate of a job includes its runs; a target gets at most 2,000; a gate keeps 32 MB of answers, and a repeat of a request whose answer was not kept is told so, as for a long answer; a host whose memory the cell's jobs exceed claims later.

--- a/proto/rattan.thrift
+++ b/proto/rattan.thrift
@@ -110,7 +110,8 @@
     1: required i64 bytes,                     // state of jobs
     2: required list<string> refused,          // organisations, by name
     3: required bool announce,                 // whether to announce all jobs
-    4: required bool loading                   // the last grant remains
+    4: required bool loading,                  // the last grant remains
+    5: required i64 used                       // by all jobs of the cell
 }
 
 struct beat_request {
--- a/src/dispatch/job_size.cpp
+++ b/src/dispatch/job_size.cpp
@@ -19,6 +19,8 @@
 constexpr std::size_t STEP_ADVICE_BYTES = 320;
 /** Strings and lists of a task: target, checkpoint, failed runs. */
 constexpr std::size_t TASK_HEAP_BYTES = 96;
+/** The run of a task in the table of targets. */
+constexpr std::size_t RUN_BYTES = 352;
 /** Of an allocation, for its header and rounding. */
 constexpr std::size_t ALLOCATION_BYTES = 32;
 /** Repeats that always have memory whatever the schedule is. */
@@ -67,7 +69,7 @@
            spec.steps.size() *
                (sizeof(step_entry) + STEP_ADVICE_BYTES + ALLOCATION_BYTES) +
            static_cast<std::size_t>(task_count(spec)) *
-               (sizeof(task_entry) + TASK_HEAP_BYTES);
+               (sizeof(task_entry) + TASK_HEAP_BYTES + RUN_BYTES);
 }
 
 std::size_t job_state_bytes(const job_spec& spec) {
--- a/src/dispatch/owner_place.cpp
+++ b/src/dispatch/owner_place.cpp
@@ -32,6 +32,8 @@
 /** Added to the expected duration of a call. */
 constexpr millis ADVICE_TIMEOUT_MARGIN{1500};
 constexpr std::int32_t MAX_SLOTS_PER_TARGET = 64;
+/** More would not fit into one answer of the target, see `resource_shares`. */
+constexpr std::int32_t MAX_RUNS_PER_TARGET = 2000;
 /** Between placement rounds while only suspects wait. */
 constexpr millis SUSPECT_PERIOD{50};
 
@@ -219,6 +221,8 @@
             ++present;
         slots = std::min(slots, step.spec->max_tasks_per_target - present);
     }
+    slots = std::min(slots, MAX_RUNS_PER_TARGET -
+                                static_cast<std::int32_t>(target.runs.size()));
     // A degraded target is probed with a single task.
     if (target.degraded || target.speed.probing)
         slots = std::min(slots, target.has_finite_run() ? 0 : 1);
--- a/src/dispatch/record_codec.cpp
+++ b/src/dispatch/record_codec.cpp
@@ -84,6 +84,7 @@
 /** Decodes a list of whole numbers. */
 std::vector<std::int32_t> decode_numbers(const json& row, std::int64_t high) {
     std::vector<std::int32_t> out;
+    out.reserve(row.size());
     for (size_t i = 0; i < row.size(); ++i)
         out.push_back(small_integer_at(row, i, high));
     return out;
--- a/src/front/member_service.cpp
+++ b/src/front/member_service.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log_func.hpp"
 #include "dispatch/fencing_tokens.hpp"
+#include "net/resource_shares.hpp"
 #include "net/thrift_codec.hpp"
 
 #include <algorithm>
@@ -413,6 +414,7 @@
             share.refused.push_back(name.value);
         share.announce = grant->announce;
         share.loading = grant->loading;
+        share.used = static_cast<std::int64_t>(grant->used_bytes);
         reply.__set_grant(share);
     }
     return wire_encode(reply);
@@ -466,6 +468,9 @@
             grant->share.refused.insert({name});
         grant->announce = reply.grant.announce;
         grant->loading = reply.grant.loading;
+        if (!grant->loading)
+            cell_state_bytes_ = static_cast<std::size_t>(
+                std::max<std::int64_t>(0, reply.grant.used));
     }
     callbacks_.grant_received(grant, sent_at);
     // An owner that can't reach the store can't start any runs.
@@ -482,6 +487,14 @@
     return result;
 }
 
+bool member_service::low_capacity() const {
+    const std::size_t state_limit =
+        divide_resources(settings_.memory_bytes, settings_.max_descriptors)
+            .job_state;
+    return settings_.milli_cores * 2 < max_milli_cores() ||
+           (state_limit > 0 && cell_state_bytes_ > state_limit);
+}
+
 std::int64_t member_service::claim_rank() const {
     // Hosts claim in descending order of CPU capacity, then by name.
     std::int64_t hosts_before = 0;
@@ -512,7 +525,7 @@
         .store_age = store_age(),
         .store_reachable_for = now - store_recovered_at_,
         .rank = claim_rank(),
-        .low_capacity = settings_.milli_cores * 2 < max_milli_cores(),
+        .low_capacity = low_capacity(),
         .large_cell = member_records_.size() > MAX_SMALL_CELL_HOSTS};
     if (!dispatch::claim_due(view))
         return;
--- a/src/front/member_service.hpp
+++ b/src/front/member_service.hpp
@@ -28,8 +28,9 @@
 /** The owner's reply on what this host may accept. */
 struct received_grant {
     dispatch::state_grant share;
-    bool announce = false; ///< Whether to announce all jobs.
-    bool loading = false;  ///< The owner does not serve yet: no new share.
+    bool announce = false;      ///< Whether to announce all jobs.
+    bool loading = false;       ///< The owner does not serve yet: no new share.
+    std::size_t used_bytes = 0; ///< State of all jobs of the cell.
 };
 
 /**
@@ -180,6 +181,11 @@
     void append_resignation(std::optional<dispatch::lease_handover> leases);
     /** Number of hosts that claim before this one. */
     [[nodiscard]] std::int64_t claim_rank() const;
+    /**
+     * Tells whether another host should claim: this one is much weaker than the
+     * strongest, or the jobs of the cell exceed its memory for them.
+     */
+    [[nodiscard]] bool low_capacity() const;
     /** CPU capacity of the strongest host. */
     [[nodiscard]] std::int64_t max_milli_cores() const;
     /** Longest recent time between two answers of the store. */
@@ -211,7 +217,8 @@
     std::optional<received_handover> handover_;
     mono_time owner_answered_at_{}; ///< Last reply of an owner with the store.
     mono_time owner_replied_at_{};
-    bool owner_lost_store_ = false; ///< According to its last reply.
+    bool owner_lost_store_ = false;    ///< According to its last reply.
+    std::size_t cell_state_bytes_ = 0; ///< Of all jobs, by its last reply.
     mono_time started_{};
     mono_time store_answered_at_{};
     mono_time store_recovered_at_{}; ///< First answer after an outage.
--- a/src/front/owner_service.cpp
+++ b/src/front/owner_service.cpp
@@ -273,7 +273,8 @@
                                                 hosts_in_touch_.size() + 1),
                       .refused = state.over_share()},
             .announce = announcing_,
-            .loading = !serving_};
+            .loading = !serving_,
+            .used_bytes = state.used()};
 }
 
 const std::string& owner_service::encoded_waits() {
--- a/src/route/request_deduplicator.cpp
+++ b/src/route/request_deduplicator.cpp
@@ -9,6 +9,8 @@
 
 constexpr size_t MAX_ENTRIES = 200'000;
 constexpr size_t MAX_KEPT_BODY_BYTES = 4'096;
+/** Of all kept answers; a repeat of a further request gets none. */
+constexpr size_t MAX_KEPT_BYTES = 32U << 20U;
 
 } // namespace
 
@@ -21,11 +23,18 @@
 void request_deduplicator::expire(std::int64_t now_ms) {
     while (!order_.empty() && now_ms - order_.front().first >
                                   REQUEST_ID_LIFETIME_MS + 2 * skew_ms_) {
-        entries_.erase(order_.front().second);
+        const auto found = entries_.find(order_.front().second);
+        if (found != entries_.end())
+            erase(found);
         order_.pop_front();
     }
 }
 
+void request_deduplicator::erase(std::map<request_key, entry>::iterator entry) {
+    kept_bytes_ -= entry->second.result.body.size();
+    entries_.erase(entry);
+}
+
 deduplication_verdict
 request_deduplicator::admit(const organisation_name& organisation,
                             const request_id& request, std::int64_t made_ms,
@@ -64,15 +73,18 @@
     if (result.outcome == check_outcome::not_run) {
         // It has certainly not run, so the same id may be tried again. Its
         // entry in `order_` stays; once that expires the id is too old anyway.
-        entries_.erase(found);
+        erase(found);
     } else {
         ended.ended = true;
+        kept_bytes_ -= ended.result.body.size();
         ended.result = result;
-        if (ended.result.body.size() > MAX_KEPT_BODY_BYTES) {
+        if (ended.result.body.size() > MAX_KEPT_BODY_BYTES ||
+            kept_bytes_ + ended.result.body.size() > MAX_KEPT_BYTES) {
             ended.result.body.clear();
             ended.result.reason = "answer-not-kept";
             ended.result.outcome = check_outcome::unknown;
         }
+        kept_bytes_ += ended.result.body.size();
     }
     for (const callback& call : waiting)
         call(result);
--- a/src/route/request_deduplicator.hpp
+++ b/src/route/request_deduplicator.hpp
@@ -70,6 +70,8 @@
                 const request_id& request, const check_result& result);
 
     [[nodiscard]] size_t size() const { return entries_.size(); }
+    /** Size of the runners' answers that are kept. */
+    [[nodiscard]] size_t kept_bytes() const { return kept_bytes_; }
 
 private:
     struct request_key {
@@ -85,12 +87,15 @@
         std::int64_t made_ms = 0;
     };
 
+    /** Removes an entry; its place in `order_` stays. */
+    void erase(std::map<request_key, entry>::iterator position);
     /** Forgets requests whose ids are not accepted any more. */
     void expire(std::int64_t now_ms);
 
     std::int64_t skew_ms_;
     std::int64_t floor_ms_; ///< Ids made before this are not accepted.
     std::map<request_key, entry> entries_;
+    size_t kept_bytes_ = 0;
     std::deque<std::pair<std::int64_t, request_key>> order_;
 };
 
--- a/tests/process_job_overload_test.cpp
+++ b/tests/process_job_overload_test.cpp
@@ -186,6 +186,33 @@
     expect_sound();
 }
 
+// Guards against a host that joins late and takes over more jobs than it has
+// memory for, though a larger one could.
+TEST_F(job_overload_test, jobs_are_left_to_a_larger_host) {
+    constexpr int LARGE_HOSTS[] = {2, 3};
+    constexpr int LARGE_MEMORY_MB = 2048;
+    const pid_t owner =
+        spawn_host(LARGE_HOSTS[0], LARGE_MEMORY_MB, MAX_DESCRIPTORS);
+    const std::string small_ip = front_ip_;
+    front_ip_ = network_prefix_ + std::to_string(LARGE_HOSTS[0]);
+    wait_for("the owner to answer",
+             [&] { return ordinary_request().status == 200; });
+    const pid_t next =
+        spawn_host(LARGE_HOSTS[1], LARGE_MEMORY_MB, MAX_DESCRIPTORS);
+    front_pid_ = owner;
+    {
+        client_crowd crowd(front_ip_, FRONT_PORT,
+                           submissions(SENDERS, LARGE_JOBS_EACH, large_job()));
+        wait_for_crowd(crowd);
+    }
+    front_ip_ = small_ip;
+    start_front();
+    kill_process(owner);
+    expect_sound();
+    EXPECT_EQ(waitpid(next, nullptr, WNOHANG), 0) << "the next owner has ended";
+    kill_process(next);
+}
+
 // Guards against refusing the repeated submission of an accepted job, and
 // against running a job whose submissions were all refused.
 TEST_F(job_overload_test, accepted_jobs_are_known_under_load) {
