HTTP server: log when a limit is in effect

Cause: the limits on connections and on the memory of requests had metrics but no line in the log that names them. Change: connections_scarce and request_memory_limit_reached, with the address of the port and the limit, at most one line each in 10 s.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,5 +1,6 @@
 #include "net/http_server.hpp"
 
+#include "base/log_func.hpp"
 #include "net/budget_claim.hpp"
 #include "net/lingering_sockets.hpp"
 #include "net/progress_check.hpp"
@@ -58,6 +59,8 @@
 /** After a refusal, slow connections are closed early for this time. */
 constexpr millis PRESSURE_TIME{3000};
 constexpr int RETRY_AFTER_S = 1;
+/** Between two log lines about the same limit. */
+constexpr millis LIMIT_LOG_PERIOD{10'000};
 
 /** State of one request from its headers to the end of its response. */
 struct exchange_state {
@@ -238,6 +241,8 @@
     void schedule_shed(millis delay);
     /** Tells whether a connection is closed after its next response. */
     [[nodiscard]] bool closes_after_response(MHD_Connection* connection);
+    /** Logs that a limit is in effect, at most once in `LIMIT_LOG_PERIOD`. */
+    void log_limit(const char* name, size_t limit, mono_time& logged_at);
     /** Closes a connection without a response. */
     void close_connection(MHD_Connection* connection, connection_state& state);
     void count(const char* metric) {
@@ -251,6 +256,7 @@
     void run_once();
 
     event_loop& loop_;
+    std::string address_;
     http_limits limits_;
     handler handle_;
     MHD_Daemon* daemon_ = nullptr;
@@ -262,14 +268,16 @@
     std::unordered_map<MHD_Connection*, connection_state> connections_;
     lingering_sockets lingering_;
     bool shed_scheduled_ = false;
+    mono_time connections_logged_at_{};
+    mono_time budget_logged_at_{};
     mono_time refused_at_{}; ///< When the budget was last exhausted.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 http_server::impl::impl(event_loop& loop, const std::string& address,
                         const http_limits& limits, handler handle)
-    : loop_(loop), limits_(limits), handle_(std::move(handle)),
-      lingering_(loop) {
+    : loop_(loop), address_(address), limits_(limits),
+      handle_(std::move(handle)), lingering_(loop) {
     const ACE_INET_Addr local(address.c_str());
     sockaddr_in bound{};
     std::memcpy(&bound, local.get_addr(), sizeof bound);
@@ -445,6 +453,8 @@
     if (status == 503) {
         refused_at_ = event_loop::now();
         schedule_shed(SHED_PERIOD);
+        log_limit("request_memory_limit_reached", limits_.budget->limit(),
+                  budget_logged_at_);
     }
     count(status == 413 ? "refused_body_too_large" : "refused_over_budget");
 }
@@ -490,6 +500,16 @@
     state.closing = true;
 }
 
+void http_server::impl::log_limit(const char* name, size_t limit,
+                                  mono_time& logged_at) {
+    const mono_time now = event_loop::now();
+    if (logged_at != mono_time{} && now - logged_at < LIMIT_LOG_PERIOD)
+        return;
+    logged_at = now;
+    log_event(log_level::warning, name,
+              {{"address", address_}, {"limit", std::to_string(limit)}});
+}
+
 bool http_server::impl::closes_after_response(MHD_Connection* connection) {
     connection_state& state = connections_[connection];
     const mono_time now = event_loop::now();
@@ -518,6 +538,8 @@
     }
     if (open <= shed_limit())
         return shed_receiving(now);
+    log_limit("connections_scarce", limits_.connections,
+              connections_logged_at_);
     // Room for many at once: each waits behind all that came before it.
     const size_t closing = std::min(open - shed_limit() / 2, candidates.size());
     std::partial_sort(candidates.begin(),
