--- a/review/standin-3/runner_main.cpp
+++ b/review/standin-3/runner_main.cpp
@@ -170,7 +170,7 @@
                        .work_ms = payload.starts_with("ms=")
                                       ? std::stoll(payload.substr(3))
                                       : 0};
-        note("start", task + " run " + std::to_string(number));
+        note("start", task + " run " + std::to_string(number) + " " + payload);
         return accepted();
     }
 
