Owner: log how long a target's process ran before it was reached

Change: `target_restarted` and `run_unknown` tell the age of the process; `run_unknown` also the run and whether it was in the first answer.

--- a/src/dispatch/owner_base.hpp
+++ b/src/dispatch/owner_base.hpp
@@ -467,6 +467,10 @@
     /** Takes another process for the newest one of a target. */
     void replace_process(target_state& target, std::int64_t incarnation,
                          const owner_clock& clock);
+    /** Time since the start of a target's process by the wall clock, for logs.
+     */
+    [[nodiscard]] static std::string process_age(const target_state& target,
+                                                 const owner_clock& clock);
     /**
      * Discards what was known of the earlier process. Its runs ended with it,
      * but the new process may have carried out their starts.
--- a/src/dispatch/owner_poll.cpp
+++ b/src/dispatch/owner_poll.cpp
@@ -327,7 +327,10 @@
     const step_spec* spec = jobs_.spec(listed.task.step);
     const job_entry* job = jobs_.find(listed.task.step.job);
     output_.log("run_unknown", listed.task.step.job,
-                "target=" + target.entry.id.value);
+                "target=" + target.entry.id.value +
+                    " run=" + std::to_string(listed.run) +
+                    " first_answer=" + (target.fenced ? "no" : "yes") +
+                    " age_ms=" + process_age(target, clock));
     targets_.add_run(
         target, listed.task,
         {.run = listed.run,
--- a/src/dispatch/owner_restart.cpp
+++ b/src/dispatch/owner_restart.cpp
@@ -14,11 +14,19 @@
         handle_restart(target, clock);
 }
 
+std::string owner::process_age(const target_state& target,
+                               const owner_clock& clock) {
+    return target.incarnation == 0
+               ? "unknown"
+               : std::to_string(clock.wall_ms - target.incarnation);
+}
+
 void owner::handle_restart(target_state& target, const owner_clock& clock) {
     output_.log("target_restarted", {},
                 "target=" + target.entry.id.value +
                     " incarnation=" + std::to_string(target.incarnation) +
-                    " runs=" + std::to_string(target.runs.size()));
+                    " runs=" + std::to_string(target.runs.size()) +
+                    " age_ms=" + process_age(target, clock));
     for (auto& [task, run] : target.runs) {
         run.percent_clock_ms = 0;
         run.started_clock_ms = 0;
