Owner: reach the next process of a target before a late start does

Cause: a start without an answer may be carried out seconds later, also by the next process of its target, which knows no token. Nothing in the order names a process; the start is void there only once a newer order has arrived. The owner polled a silent target every 20 to 250 ms, as one job of its tick, so the late start came first: it was in the first answer of a process that was reached 95 to 114 ms after its start. In a history where a poll returns at once, no poll was pending for up to 800 ms, and a crash in between went unnoticed.

Change: while a start without a ticket may arrive, its target is guarded. An idle connection breaks when the process ends; from then on a poll with the newest token is repeated until it is answered, outside the tick. Starts with a ticket need no guard: the next process refuses them.

--- a/proto/rattan.thrift
+++ b/proto/rattan.thrift
@@ -18,7 +18,8 @@
     STORE = 11,    // entry host: append a record for a sender that can't
     CALL = 12,     // entry host: call a target for the owner
     STORED = 13,   // owner: a job record that the sender has stored
-    READ_STATE = 14 // state reader: state of a job, for a host without owner
+    READ_STATE = 14, // state reader: state of a job, for a host without owner
+    GUARD = 15     // entry host: reach each new process of a target at once
 }
 
 enum status {
@@ -179,6 +180,14 @@
     4: required i32 timeout_ms
 }
 
+struct guard_request {
+    1: required string target,
+    2: required string url,
+    3: required string body,
+    4: required list<string> headers,
+    5: required i32 duration_ms
+}
+
 struct call_reply {
     1: required i32 outcome,  // http_outcome
     2: required i32 status,
--- a/src/dispatch/order_type.hpp
+++ b/src/dispatch/order_type.hpp
@@ -44,6 +44,8 @@
     order_refusal refusal = order_refusal::none;
     std::int64_t clock_ms = 0; ///< Clock of the target; 0: not in the answer.
     std::int64_t fencing_token = 0; ///< Of the order.
+    /** The order had a ticket, which only one process of a target accepts. */
+    bool ticketed = false;
 };
 
 /** Order that renews the lease of a target and asks for the runs on it. */
--- a/src/dispatch/owner_base.hpp
+++ b/src/dispatch/owner_base.hpp
@@ -50,6 +50,13 @@
                           std::int64_t fencing_token) = 0;
     virtual void poll(const target_address& target,
                       const poll_order& order) = 0;
+    /**
+     * For a time, shows each new process of a target a fencing token as soon
+     * as it can be reached, from several hosts. `owner::process_reached` is
+     * called each time that one has been reached.
+     */
+    virtual void guard_restart(const target_address& target,
+                               std::int64_t fencing_token, millis duration) = 0;
     virtual void ask_advice(const host_id& host, const step_ref& step,
                             const std::vector<std::string>& targets,
                             millis timeout) = 0;
@@ -171,6 +178,8 @@
                            const order_answer& answer);
     void poll_answered(const target_id& target, const poll_answer& answer,
                        mono_time sent_at, const owner_clock& clock);
+    /** A guarded target, or its next process, has seen its token. */
+    void process_reached(const target_id& target, const owner_clock& clock);
     void advice_answered(const host_id& host, const step_ref& step, bool slow,
                          const advice_answer& answer, const owner_clock& clock);
     /**
@@ -489,6 +498,13 @@
     /** Tells whether a start was sent and may still be carried out. */
     [[nodiscard]] static bool start_outstanding(const target_state& target);
 
+    // owner_guard.cpp
+    /**
+     * Has a target guarded if its next process would accept a start that was
+     * meant for the process before.
+     */
+    void guard_restart(target_state& target, const owner_clock& clock);
+
     // owner_lease.cpp
     /** Time by which a lease ends that any process of a target receives now. */
     [[nodiscard]] mono_time latest_lease_end(mono_time now) const;
--- /dev/null
+++ b/src/dispatch/owner_guard.cpp
@@ -0,0 +1,29 @@
+/** @file Guards of targets that restart while a start may arrive. */
+#include "dispatch/owner_base.hpp"
+
+namespace rattan::dispatch {
+
+void owner::guard_restart(target_state& target, const owner_clock& clock) {
+    if (target.entry.address.empty() ||
+        !target.unguarded_start_may_arrive(clock.now) ||
+        !may_send_orders(clock.now))
+        return;
+    const mono_time end = target.unguarded_start_at + MAX_ORDER_DELAY;
+    // Each silence and each new process raise the token, so a guard that other
+    // hosts have lost is requested again when it is needed.
+    if (target.guard_token == target.fencing_token &&
+        target.guarded_until >= end)
+        return;
+    target.guard_token = target.fencing_token;
+    target.guarded_until = end;
+    output_.guard_restart(address_of(target), target.fencing_token,
+                          end - clock.now);
+}
+
+void owner::process_reached(const target_id& id, const owner_clock& clock) {
+    target_state* target = targets_.find(id);
+    if (target != nullptr)
+        poll_concurrently(*target, clock);
+}
+
+} // namespace rattan::dispatch
--- a/src/dispatch/owner_poll.cpp
+++ b/src/dispatch/owner_poll.cpp
@@ -39,6 +39,7 @@
     if (!may_send_orders(clock.now))
         return;
     for (auto& [id, target] : targets_.all()) {
+        guard_restart(target, clock);
         if (target.poll_pending || target.entry.address.empty())
             continue;
         if (!target.needs_polls(clock.now))
@@ -121,6 +122,7 @@
             target.silent_since = clock.now;
             raise_fencing_token(target);
             output_.log("target_silent", {}, "target=" + id.value);
+            guard_restart(target, clock);
         }
         target.next_poll =
             clock.now + std::clamp(std::chrono::duration_cast<millis>(
--- a/src/dispatch/owner_start.cpp
+++ b/src/dispatch/owner_start.cpp
@@ -89,6 +89,9 @@
     if (unanswered) {
         raise_fencing_token(*target);
         target->start_unanswered_at = clock.now;
+        if (!answer.ticketed)
+            target->unguarded_start_at = clock.now;
+        guard_restart(*target, clock);
     }
     if (!present)
         return;
--- a/src/dispatch/target_table.hpp
+++ b/src/dispatch/target_table.hpp
@@ -71,6 +71,12 @@
 /** An order without an answer may be carried out until this much later. */
 constexpr millis MAX_ORDER_DELAY{15'000};
 
+/** Tells whether an order that had no answer by a time may still arrive. */
+inline bool may_arrive(mono_time unanswered_at, mono_time now) {
+    return unanswered_at != mono_time{} &&
+           now - unanswered_at <= MAX_ORDER_DELAY;
+}
+
 /** A target as seen by the owner. */
 struct target_state {
     target_entry entry;
@@ -96,6 +102,11 @@
     std::map<task_id, run_entry> runs;
     /** When the last start without an answer became known; zero: never. */
     mono_time start_unanswered_at{};
+    /** The same for starts that any later process of the target accepts. */
+    mono_time unguarded_start_at{};
+    /** Until when the target is guarded with `guard_token`. */
+    mono_time guarded_until{};
+    std::int64_t guard_token = 0;
     resources allocated; ///< Without the processors of best-effort tasks.
     /** Requested by best-effort tasks. */
     std::int64_t best_effort_milli_cores = 0;
@@ -158,8 +169,12 @@
 
     /** Tells whether a start without an answer may still be carried out. */
     [[nodiscard]] bool start_may_arrive(mono_time now) const {
-        return start_unanswered_at != mono_time{} &&
-               now - start_unanswered_at <= MAX_ORDER_DELAY;
+        return may_arrive(start_unanswered_at, now);
+    }
+
+    /** The same for a start that any later process of the target accepts. */
+    [[nodiscard]] bool unguarded_start_may_arrive(mono_time now) const {
+        return may_arrive(unguarded_start_at, now);
     }
 
     /**
--- a/src/front/front_service.cpp
+++ b/src/front/front_service.cpp
@@ -93,7 +93,7 @@
                [this](std::int64_t epoch) {
                    owner_ = std::make_unique<owner_service>(
                        owner_context{loop_, http_, store_, settings_, members_,
-                                     metrics_, delegates_,
+                                     metrics_, delegates_, restarts_,
                                      [this](const job_id& job) {
                                          state_waiters_.end_stored(job);
                                      }},
@@ -130,6 +130,7 @@
                        owner_->update_hosts();
                }}),
       delegates_(loop, http_, members_, settings.host),
+      restarts_(loop, members_, metrics_, settings.host, settings.milli_cores),
       operator_follower_(
           loop, store_,
           {.topic = platform::OPERATOR_TOPIC, .max_wait = millis(700)},
@@ -285,6 +286,7 @@
     rpc_server_ =
         std::make_unique<rpc_server>(loop_, rpc_address_, peer_limits());
     delegate_service::register_call_method(*rpc_server_, http_);
+    restarts_.register_guard_method(*rpc_server_);
     rpc_server_->on(
         wire::method::BEAT,
         [this](const std::string& body, const rpc_server::responder& answer) {
--- a/src/front/front_service.hpp
+++ b/src/front/front_service.hpp
@@ -222,6 +222,7 @@
     std::string rpc_address_;
     member_service members_;
     delegate_service delegates_;
+    restart_guard restarts_;
     topic_follower operator_follower_;
     writer_group job_writer_;
     dispatch::cell_config config_;
--- a/src/front/owner_service.cpp
+++ b/src/front/owner_service.cpp
@@ -605,6 +605,20 @@
         }));
 }
 
+void owner_service::guard_restart(const target_address& target,
+                                  std::int64_t fencing_token, millis duration) {
+    log_event(log_level::info, "target_guarded",
+              {{"target", target.id.value},
+               {"ms", std::to_string(duration.count())}});
+    context_.restarts.guard(
+        target.id.value,
+        platform::target_client::token_poll(target, fencing_token), duration,
+        guarded([this, id = target.id] {
+            owner_.process_reached(id, clock());
+            schedule_tick();
+        }));
+}
+
 void owner_service::advise(http_client& http, const std::string& address,
                            const std::string& step,
                            const std::vector<std::string>& targets,
--- a/src/front/owner_service.hpp
+++ b/src/front/owner_service.hpp
@@ -8,6 +8,7 @@
 #include "front/delegate_service.hpp"
 #include "front/member_service.hpp"
 #include "front/progress_writer.hpp"
+#include "front/restart_guard.hpp"
 #include "front/topic_follower.hpp"
 #include "platform/target_client.hpp"
 
@@ -33,6 +34,7 @@
     member_service& members;
     metrics_registry& metrics;
     delegate_service& delegates;
+    restart_guard& restarts;
     /** Called when the end of a job is stored and may be shown. */
     std::function<void(const job_id&)> end_stored;
 };
@@ -106,6 +108,8 @@
                   std::int64_t fencing_token) override;
     void poll(const dispatch::target_address& target,
               const dispatch::poll_order& order) override;
+    void guard_restart(const dispatch::target_address& target,
+                       std::int64_t fencing_token, millis duration) override;
     void ask_advice(const host_id& host, const dispatch::step_ref& step,
                     const std::vector<std::string>& targets,
                     millis timeout) override;
--- /dev/null
+++ b/src/front/restart_guard.hpp
@@ -0,0 +1,89 @@
+/** @file Reaches the next process of a target before a late order does. */
+#pragma once
+
+#include "base/metrics_base.hpp"
+#include "dispatch/probe_pacer.hpp"
+#include "dispatch/probe_rotation.hpp"
+#include "front/member_service.hpp"
+#include "net/connection_watch.hpp"
+#include "net/http_client.hpp"
+#include "net/micro_timer.hpp"
+#include "net/rpc_server.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace rattan::front {
+
+/**
+ * Shows each new process of a target a fencing token as soon as it can be
+ * reached. A connection tells when the process ends; from then on a poll with
+ * the token is repeated until it is answered. Several hosts do so for each
+ * target, each within its own processor share, and apart from the owner's other
+ * work, which would delay it.
+ */
+class restart_guard {
+public:
+    restart_guard(event_loop& loop, member_service& members,
+                  metrics_registry& metrics, host_id own_host,
+                  std::int64_t milli_cores);
+    ~restart_guard();
+
+    /**
+     * Guards a target from this host and others. A new poll takes the place of
+     * the earlier one.
+     * @param poll Shows the token; sent at once and to each new process.
+     * @param duration Time after which the guard ends.
+     * @param reached Called when this host has reached a process after one
+     * had been out of reach.
+     */
+    void guard(const std::string& target, const http_call& poll,
+               millis duration, std::function<void()> reached);
+
+    /** Registers the method by which other hosts have targets guarded here. */
+    void register_guard_method(rpc_server& server);
+
+private:
+    struct guarded_target {
+        std::string address; ///< IP and port.
+        http_call poll;
+        std::function<void()> reached;
+        std::int64_t until_us = 0;
+        bool out_of_reach = false; ///< Since the last answer.
+        /** Empty before the first answer, and while the process is gone. */
+        std::unique_ptr<connection_watch> connection;
+    };
+
+    /** @return False if too many targets are guarded here. */
+    bool guard_here(const std::string& target, const http_call& poll,
+                    millis duration, std::function<void()> reached);
+    /** Asks other hosts to guard a target as well. */
+    void guard_elsewhere(const std::string& target, const http_call& poll,
+                         millis duration);
+    void watch(const std::string& target, guarded_target& guarded);
+    /** Probes a target whose process may have ended. */
+    void begin_probes(const std::string& target);
+    /** Sends the probe that is due, if any, and waits for the next one. */
+    void send_due_probe();
+    void handle_probe_end(const std::string& target,
+                          const http_call_result& result);
+    /** Ends the guards whose time is over. */
+    void end_guards();
+
+    event_loop& loop_;
+    member_service& members_;
+    metrics_registry& metrics_;
+    host_id own_host_;
+    http_client http_; ///< Probes don't wait for the connections of others.
+    dispatch::probe_pacer pacer_;
+    dispatch::probe_rotation rotation_;
+    std::map<std::string, guarded_target> targets_;
+    std::size_t watches_ = 0;            ///< Connections held.
+    std::unique_ptr<micro_timer> timer_; ///< Once a target is guarded.
+    bool end_scheduled_ = false;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace rattan::front
--- a/standins/fleet_main.cpp
+++ b/standins/fleet_main.cpp
@@ -5,6 +5,7 @@
 
 #include <gflags/gflags.h>
 
+#include <algorithm>
 #include <iostream>
 
 DEFINE_string(ip, "127.0.2.1", "IP number of all services");
@@ -24,6 +25,8 @@
 constexpr int ALTERNATE_STORE_PORT_OFFSET = 3; ///< Second port of the store.
 constexpr int FIRST_TARGET_PORT_OFFSET = 10;
 constexpr millis HEARTBEAT_PERIOD{1500};
+/** From the start of a target's process until the list shows it. */
+constexpr millis REGISTRATION_DELAY{300};
 constexpr int MILLI_CORES_PER_CORE = 1000;
 
 std::string endpoint(int offset) {
@@ -39,7 +42,13 @@
     return {.body = json({{"good", suitable}, {"validMs", 2500}}).dump()};
 }
 
-http_response show_audit(const fleet_audit& audit) {
+http_response
+show_audit(const fleet_audit& audit,
+           const std::vector<std::unique_ptr<fleet_target>>& targets) {
+    const auto held =
+        std::count_if(targets.begin(), targets.end(), [](const auto& target) {
+            return target && !target->held_start().empty();
+        });
     int present = 0;
     for (const auto& [task, runs] : audit.present)
         present += runs;
@@ -49,6 +58,7 @@
                           {"starts", audit.starts},
                           {"last_start_target", audit.last_start_target},
                           {"present", present},
+                          {"held_starts", held},
                           {"done", audit.done.size()}})
                         .dump()};
 }
@@ -64,16 +74,41 @@
         fleet_audit audit;
         fleet_store store(loop, endpoint(0),
                           endpoint(ALTERNATE_STORE_PORT_OFFSET));
+        const auto make_target = [&](std::size_t number) {
+            return std::make_unique<fleet_target>(
+                loop, "t" + std::to_string(number),
+                endpoint(FIRST_TARGET_PORT_OFFSET + static_cast<int>(number)),
+                std::int64_t{FLAGS_cores} * MILLI_CORES_PER_CORE, audit);
+        };
+        // Empty while the process of a target has ended.
         std::vector<std::unique_ptr<fleet_target>> targets;
-        for (int i = 0; i < FLAGS_targets; ++i)
-            targets.push_back(std::make_unique<fleet_target>(
-                loop, "t" + std::to_string(i),
-                endpoint(FIRST_TARGET_PORT_OFFSET + i),
-                std::int64_t{FLAGS_cores} * MILLI_CORES_PER_CORE, audit));
+        for (std::size_t i = 0; i < static_cast<std::size_t>(FLAGS_targets);
+             ++i)
+            targets.push_back(make_target(i));
         const auto publish_targets = [&] {
             for (size_t i = 0; i < targets.size(); ++i)
-                store.put("keyed.servers", "t" + std::to_string(i),
-                          targets[i]->entry());
+                if (targets[i])
+                    store.put("keyed.servers", "t" + std::to_string(i),
+                              targets[i]->entry());
+        };
+        // The next process of a target begins after `down_ms`, and the start
+        // that was held arrives there `late_ms` after that.
+        const auto restart_target = [&](const http_request& request) {
+            const auto milliseconds = [&](const char* name) {
+                return millis(std::stol(request.query.at(name)));
+            };
+            const std::size_t number = std::stoul(request.query.at("target"));
+            const std::string held = targets.at(number)->held_start();
+            targets[number].reset();
+            loop.after(milliseconds("down_ms"),
+                       [&, number, held, late = milliseconds("late_ms")] {
+                           targets[number] = make_target(number);
+                           loop.after(REGISTRATION_DELAY, publish_targets);
+                           if (!held.empty())
+                               loop.after(late, [&, number, held] {
+                                   targets[number]->start_late(held);
+                               });
+                       });
         };
         publish_targets();
         loop.every(HEARTBEAT_PERIOD, publish_targets);
@@ -93,7 +128,12 @@
                 if (request.path == "/admin/silence")
                     targets.at(std::stoul(request.query.at("target")))
                         ->set_silent(request.query.at("on") == "1");
-                answer(show_audit(audit));
+                if (request.path == "/admin/hold_start")
+                    targets.at(std::stoul(request.query.at("target")))
+                        ->hold_next_start();
+                if (request.path == "/admin/restart")
+                    restart_target(request);
+                answer(show_audit(audit, targets));
             });
         loop.on_signals([&] { loop.stop(); }, [] {});
         loop.run();
--- a/standins/fleet_target.cpp
+++ b/standins/fleet_target.cpp
@@ -3,6 +3,7 @@
 #include "net/program_runtime.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace rattan::standin {
 
@@ -25,7 +26,15 @@
             [this](const http_request& request, http_server::responder answer) {
                 handle(request, std::move(answer));
             }) {
-    loop.every(TICK_PERIOD, [this] { tick(); });
+    loop.every(TICK_PERIOD, [this, alive = std::weak_ptr(alive_)] {
+        if (!alive.expired())
+            tick();
+    });
+}
+
+fleet_target::~fleet_target() {
+    for (const auto& [task, run] : runs_)
+        --audit_.present[task];
 }
 
 std::int64_t fleet_target::clock_ms() const {
@@ -58,11 +67,15 @@
     const json body = json::parse(request.body, nullptr, false);
     if (!body.is_object())
         return answer({.status = 400, .body = "{}"});
-    const auto token = body.value("fencingToken", std::int64_t{0});
-    if (token < highest_token_)
+    const bool start_order = request.path == "/-/run-start";
+    if (start_order && std::exchange(hold_next_start_, false)) {
+        held_start_ = request.body;
+        unanswered_.push_back(std::move(answer));
+        return;
+    }
+    if (!accept_token(body))
         return answer(refuse("fence"));
-    highest_token_ = token;
-    if (request.path == "/-/run-start")
+    if (start_order)
         return answer(start(body));
     if (request.path == "/-/run-stop")
         return answer(stop(body));
@@ -71,6 +84,20 @@
     answer({.status = 404, .body = "{}"});
 }
 
+bool fleet_target::accept_token(const json& body) {
+    const auto token = body.value("fencingToken", std::int64_t{0});
+    if (token < highest_token_)
+        return false;
+    highest_token_ = token;
+    return true;
+}
+
+void fleet_target::start_late(const std::string& body) {
+    const json order = json::parse(body);
+    if (accept_token(order))
+        start(order);
+}
+
 http_response fleet_target::start(const json& body) {
     const std::string task = body.at("task").get<std::string>();
     const auto run_number = body.at("run").get<std::int64_t>();
--- a/standins/fleet_target.hpp
+++ b/standins/fleet_target.hpp
@@ -31,6 +31,10 @@
 public:
     fleet_target(event_loop& loop, std::string id, const std::string& address,
                  std::int64_t milli_cores, fleet_audit& audit);
+    /** Ends the process: its runs end without notice. */
+    ~fleet_target();
+    fleet_target(const fleet_target&) = delete;
+    fleet_target& operator=(const fleet_target&) = delete;
 
     /** Its entry in the target list of the store, as JSON. */
     [[nodiscard]] std::string entry() const;
@@ -38,6 +42,13 @@
     /** While silent it sends no responses; its tasks keep running. */
     void set_silent(bool silent) { silent_ = silent; }
 
+    /** The next start order has no answer and no effect yet. */
+    void hold_next_start() { hold_next_start_ = true; }
+    /** Returns the start order that is held; empty: none. */
+    [[nodiscard]] const std::string& held_start() const { return held_start_; }
+    /** Carries out a start order that arrives late. */
+    void start_late(const std::string& body);
+
 private:
     struct run {
         std::int64_t run_number = 0;
@@ -49,6 +60,8 @@
     };
 
     void handle(const http_request& request, http_server::responder answer);
+    /** Notes a fencing token. @return False if it is an outdated one. */
+    bool accept_token(const nlohmann::json& body);
     http_response start(const nlohmann::json& body);
     http_response stop(const nlohmann::json& body);
     void poll(const nlohmann::json& body, http_server::responder answer);
@@ -71,8 +84,11 @@
     std::int64_t highest_token_ = 0; ///< Fencing token.
     std::int64_t lease_end_ms_ = 0;  ///< On the target's clock.
     bool silent_ = false;
+    bool hold_next_start_ = false;
+    std::string held_start_;
     std::vector<waiting_poll> waiting_polls_;
     std::vector<http_server::responder> unanswered_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
     http_server http_;
 };
 
--- a/tests/copy_order_test.cpp
+++ b/tests/copy_order_test.cpp
@@ -28,6 +28,7 @@
     void poll(const target_address& target, const poll_order& order) override {
         polls[target.id] = order;
     }
+    void guard_restart(const target_address&, std::int64_t, millis) override {}
     void ask_advice(const host_id&, const step_ref&,
                     const std::vector<std::string>&, millis) override {}
     void store(const std::vector<store_record>&) override { pending = true; }
--- a/tests/dispatch_world.cpp
+++ b/tests/dispatch_world.cpp
@@ -21,6 +21,8 @@
 constexpr millis START_TIMEOUT{350}; ///< For the answer to a start order.
 /** After which a delayed poll is carried out. */
 constexpr millis POLL_DELAY{3000};
+/** Between two probes of a target that drops requests to connect. */
+constexpr millis SILENT_PROBE_PERIOD{50};
 /** After which the entry of a target that has crashed is removed. */
 constexpr millis LIST_TIMEOUT{1500};
 constexpr std::size_t MAX_LISTED_ENDS = 500; ///< In one answer to a poll.
@@ -280,6 +282,7 @@
 
 void simulated_cell::start(const target_address& address,
                            const start_order& order) {
+    last_start_sent_ = now_;
     count_start(index_of(address.id), order);
     const std::string text = std::to_string(now_) + ' ' + address.id.value +
                              ' ' + order.task.step.job.value + ' ' +
@@ -292,8 +295,9 @@
     const auto unanswered = [this, address, order, epoch = epoch_] {
         if (epoch != epoch_)
             return;
-        owner_->start_answered(address.id, order.task, order.run,
-                               {.sent = true}, clock());
+        owner_->start_answered(
+            address.id, order.task, order.run,
+            {.sent = true, .ticketed = !order.ticket.empty()}, clock());
         schedule_tick();
     };
     if (std::bernoulli_distribution(delayed_start_share_)(random_)) {
@@ -398,7 +402,7 @@
     if (to_owner == start_answer::timed_out)
         return;
     if (to_owner == start_answer::lost)
-        answer = {.sent = true};
+        answer = {.sent = true, .ticketed = !order.ticket.empty()};
     deliver_answer([this, address, order, answer] {
         owner_->start_answered(address.id, order.task, order.run, answer,
                                clock());
@@ -561,6 +565,43 @@
     });
 }
 
+void simulated_cell::guard_restart(const target_address& address,
+                                   std::int64_t fencing_token,
+                                   millis duration) {
+    ++guard_requests_;
+    target_guard& guard = guards_[address.id];
+    guard.fencing_token = fencing_token;
+    guard.until = now_ + duration.count();
+    guard.reached_life = 0;
+    if (!std::exchange(guard.running, true))
+        run_guard(address.id);
+}
+
+void simulated_cell::run_guard(const target_id& id) {
+    target_guard& guard = guards_[id];
+    const fake_target& target = targets_[static_cast<size_t>(index_of(id))];
+    if (now_ >= guard.until) {
+        guard.running = false;
+        return;
+    }
+    if (guard.reached_life != target.lives)
+        after(options_.order_latency / 2, [this, id] {
+            fake_target& probed = targets_[static_cast<size_t>(index_of(id))];
+            target_guard& current = guards_[id];
+            if (!answers(id) || current.reached_life == probed.lives)
+                return;
+            current.reached_life = probed.lives;
+            if (current.fencing_token >= probed.fencing_token) {
+                probed.fencing_token = current.fencing_token;
+                probed.reached = true;
+            }
+            deliver_answer(
+                [this, id] { owner_->process_reached(id, clock()); });
+        });
+    after(target.silent ? SILENT_PROBE_PERIOD : options_.probe_period,
+          [this, id] { run_guard(id); });
+}
+
 bool simulated_cell::answers(const target_id& id) const {
     const fake_target& target = targets_[static_cast<size_t>(index_of(id))];
     return !target.silent && !target.down && target.entry.id == id;
--- a/tests/dispatch_world.hpp
+++ b/tests/dispatch_world.hpp
@@ -32,6 +32,8 @@
     int hosts = 6;            ///< Hosts that call the advice service.
     millis append_latency{8}; ///< Round trip of an append.
     millis order_latency{3};  ///< Round trip of an order.
+    /** Between two probes of a guarded target whose process has ended. */
+    millis probe_period{1};
     /** Time after which the list of targets shows a restart. */
     millis list_delay{1000};
     /** Longest lease that a target grants. */
@@ -254,6 +256,12 @@
     [[nodiscard]] std::vector<millis>
     durations_of(const std::string& queue) const;
     [[nodiscard]] int polls() const { return polls_; }
+    /** Requests of owners to guard a target. */
+    [[nodiscard]] int guard_requests() const { return guard_requests_; }
+    /** Time at which the last start order was sent. */
+    [[nodiscard]] millis last_start_sent() const {
+        return millis(last_start_sent_);
+    }
     /**
      * Starts sent to an earlier process of their target that were carried out
      * by one which had answered a poll.
@@ -320,6 +328,8 @@
         });
     }
     void poll(const target_address& target, const poll_order& order) override;
+    void guard_restart(const target_address& target, std::int64_t fencing_token,
+                       millis duration) override;
     void ask_advice(const host_id& host, const step_ref& step,
                     const std::vector<std::string>& targets,
                     millis timeout) override;
@@ -366,6 +376,13 @@
         double slowdown = 1;
         std::function<void()> pending_poll;
     };
+    /** The last guard of a target. */
+    struct target_guard {
+        std::int64_t fencing_token = 0;
+        std::int64_t until = 0;
+        int reached_life = 0; ///< Process that has seen the token.
+        bool running = false;
+    };
     struct event {
         std::int64_t at;
         std::int64_t order;
@@ -402,6 +419,8 @@
     void end_run(fake_target& target, task_id task, run_end how);
     void send_poll_answer(const target_id& target, const poll_order& order,
                           mono_time sent_at);
+    /** Probes a guarded target if it has a new process. */
+    void run_guard(const target_id& target);
     /** The owner learns that a poll has no answer. */
     void fail_poll(const target_id& target, const poll_order& order,
                    mono_time sent_at, millis delay);
@@ -493,6 +512,9 @@
     std::map<int, int> starts_by_target_;
     std::uint64_t start_hash_ = 0;
     int polls_ = 0;
+    int guard_requests_ = 0;
+    std::map<target_id, target_guard> guards_;
+    std::int64_t last_start_sent_ = 0;
     int starts_with_old_ticket_ = 0;
     int starts_in_reached_process_ = 0;
     int removed_jobs_ = 0;
--- a/tests/late_start_test.cpp
+++ b/tests/late_start_test.cpp
@@ -103,3 +103,84 @@
                                           millis(9000));
         }
 }
+
+namespace {
+
+/** How a target crashes while a start is on its way to it. */
+struct crash_plan {
+    std::uint32_t seed = 1;
+    int work_ms = WORK_MS;
+    /** From the start of the next process to the arrival of the order. */
+    millis arrives_after_return{5};
+    bool owner_changes = false; ///< While the target is down.
+};
+
+/**
+ * A start has no answer, its task runs elsewhere, and its target crashes. The
+ * order arrives shortly after the next process of the target has started.
+ */
+std::unique_ptr<simulated_cell> play_crash(const crash_plan& plan,
+                                           const std::string& queue) {
+    constexpr millis ARRIVES_AFTER{6000};
+    constexpr millis CRASHES_AT{9000};
+    auto cell = make_cell(plan.seed);
+    cell->add_queue({.queue = "advised",
+                     .advice = {1, 0.01, millis(2500)},
+                     .eligible_share = 1});
+    cell->at(millis(6000), [&cell = *cell, plan, queue, ARRIVES_AFTER] {
+        cell.delay_starts(1, ARRIVES_AFTER);
+        job_spec job = job_of(1);
+        job.steps[0].estimate = millis(plan.work_ms);
+        cell.submit(queue, "a", job);
+    });
+    cell->run_until(millis(6200));
+    cell->delay_starts(0);
+    EXPECT_EQ(cell->starts(), 1);
+    const millis returns_at =
+        cell->last_start_sent() + ARRIVES_AFTER - plan.arrives_after_return;
+    for (int i = 0; i < TARGETS; ++i) {
+        if (cell->starts_on(i) == 0)
+            continue;
+        cell->at(CRASHES_AT, [&cell = *cell, i, returns_at, CRASHES_AT] {
+            cell.crash_target(i, {.downtime = returns_at - CRASHES_AT,
+                                  .keeps_id = true,
+                                  .list_delay = millis(300)});
+        });
+    }
+    if (plan.owner_changes)
+        cell->at(CRASHES_AT + millis(500),
+                 [&cell = *cell] { cell.restart_owner(); });
+    cell->run_until(millis(60'000));
+    return cell;
+}
+
+} // namespace
+
+// The start arrives 5 to 200 ms after the next process has started, after the
+// end of the task elsewhere and before it. Guards against polls of a silent
+// target that are too far apart to reach its next process before such a start.
+TEST(late_start, process_is_reached_milliseconds_after_its_start) {
+    for (std::uint32_t seed = 1; seed <= 10; ++seed)
+        for (const int work_ms : {300, WORK_MS})
+            for (const int arrives_ms : {5, 10, 20, 50, 100, 200}) {
+                SCOPED_TRACE(::testing::Message()
+                             << "seed " << seed << " work " << work_ms
+                             << " after " << arrives_ms);
+                const auto cell =
+                    play_crash({.seed = seed,
+                                .work_ms = work_ms,
+                                .arrives_after_return = millis(arrives_ms)},
+                               "direct");
+                EXPECT_EQ(cell->overlapping_runs(), 0);
+                EXPECT_EQ(cell->starts_after_success(), 0);
+                EXPECT_EQ(cell->queue_result("direct").ended, 1);
+            }
+}
+
+// A ticket is refused by any later process. Guards against the cost of guards
+// where no start can do harm.
+TEST(late_start, targets_of_starts_with_tickets_are_not_guarded) {
+    const auto cell = play_crash({}, "advised");
+    EXPECT_EQ(cell->guard_requests(), 0);
+    EXPECT_EQ(cell->queue_result("advised").ended, 1);
+}
--- a/tests/owner_order_test.cpp
+++ b/tests/owner_order_test.cpp
@@ -31,6 +31,7 @@
     void poll(const target_address&, const poll_order& order) override {
         polls.push_back(order);
     }
+    void guard_restart(const target_address&, std::int64_t, millis) override {}
     void ask_advice(const host_id&, const step_ref&,
                     const std::vector<std::string>&, millis) override {}
     void store(const std::vector<store_record>& records) override {
--- a/tests/process_front_fixture.hpp
+++ b/tests/process_front_fixture.hpp
@@ -125,16 +125,13 @@
     /** @param other_keys Keys of a second organisation. */
     void put_config(int version, const std::vector<std::string>& keys,
                     const std::vector<std::string>& other_keys = {}) {
-        const json queue = {
-            {"name", "q"},
-            {"hostname", "shop.example"},
-            {"pathPrefix", "/q/"},
-            {"service", "pool"},
-            {"maxAttempts", 3},
-            {"stretch", 2},
-            {"targetLatencyMs", 500},
-            {"advice",
-             {{"decideMs", 5}, {"perWorkerMs", 0}, {"validMs", 2500}}}};
+        json queue = {{"name", "q"},           {"hostname", "shop.example"},
+                      {"pathPrefix", "/q/"},   {"service", "pool"},
+                      {"maxAttempts", 3},      {"stretch", 2},
+                      {"targetLatencyMs", 500}};
+        if (advice_)
+            queue["advice"] = {
+                {"decideMs", 5}, {"perWorkerMs", 0}, {"validMs", 2500}};
         const json config = {
             {"configVersion", version},
             {"routes", {queue}},
@@ -267,6 +264,7 @@
     std::filesystem::path work_dir_;
     pid_t platform_pid_ = 0;
     int status_retention_s_ = 120; ///< For hosts started afterwards.
+    bool advice_ = true; ///< Starts need tickets; for later configurations.
     std::string further_settings_; ///< Lines for hosts started afterwards.
     /** Ends that nobody learned of, so that their tasks had to run again. */
     int lost_ends_ = 0;
--- a/tests/store_round_test.cpp
+++ b/tests/store_round_test.cpp
@@ -24,6 +24,7 @@
     void throttle(const target_address&, const task_id&, std::int32_t, int,
                   std::int64_t) override {}
     void poll(const target_address&, const poll_order&) override {}
+    void guard_restart(const target_address&, std::int64_t, millis) override {}
     void ask_advice(const host_id&, const step_ref&,
                     const std::vector<std::string>&, millis) override {}
     void store(const std::vector<store_record>& records) override {
