Owner: void a speed order without an answer

A best-effort task stands still, or disturbs a serving one, until its speed changes again.

Cause: a speed order without an answer may be carried out seconds later, after the one that took its place was confirmed. Both had the same token, and only changes of the speed are sent. Change: an order without an answer raises the token of the target, as a start does. The repeated order carries it, so the target refuses the late one.

--- a/src/dispatch/owner_speed.cpp
+++ b/src/dispatch/owner_speed.cpp
@@ -162,6 +162,9 @@
     target_state* target = targets_.find(id);
     if (target == nullptr)
         return;
+    // It may be carried out after a newer one, which would not be repeated.
+    if (answer.sent && !answer.answered)
+        raise_fencing_token(*target);
     const auto found = target->runs.find(task);
     if (found == target->runs.end() || found->second.run != run_number)
         return;
--- a/tests/owner_order_test.cpp
+++ b/tests/owner_order_test.cpp
@@ -25,8 +25,9 @@
         stops.push_back(task);
     }
     void throttle(const target_address&, const task_id& task, std::int32_t,
-                  int percent, std::int64_t) override {
+                  int percent, std::int64_t fencing_token) override {
         speeds.emplace_back(task, percent);
+        speed_tokens.push_back(fencing_token);
     }
     void poll(const target_address&, const poll_order& order) override {
         polls.push_back(order);
@@ -45,6 +46,7 @@
     std::vector<start_order> starts;
     std::vector<task_id> stops;
     std::vector<std::pair<task_id, int>> speeds;
+    std::vector<std::int64_t> speed_tokens;
     std::vector<poll_order> polls;
     std::vector<store_record> stored;
     int store_calls = 0;
@@ -338,6 +340,26 @@
     EXPECT_EQ(output.speeds.size(), 2U);
 }
 
+// Guards against a speed order that is carried out seconds later, after a newer
+// one has been confirmed: the target kept the old speed.
+TEST_F(owner_order, speed_order_without_an_answer_is_void_for_newer_ones) {
+    const auto [serving, filler] = start_serving_and_best_effort();
+    poll_with_tail_latency(serving, filler, 90);
+    answer_speed(filler, 50, false);
+    poll_with_tail_latency(serving, filler, 10);
+    ASSERT_EQ(output.speeds.size(), 2U);
+    EXPECT_GT(output.speed_tokens[1], output.speed_tokens[0]);
+    // The next poll shows the target the same token.
+    EXPECT_EQ(output.polls.back().fencing_token, output.speed_tokens[1]);
+    // A refusal is an answer: the order will not be carried out.
+    under_test.throttle_answered(
+        TARGET, filler.task, filler.run, 70,
+        {.answered = true, .sent = true, .refusal = order_refusal::other});
+    poll_with_tail_latency(serving, filler, 10);
+    ASSERT_EQ(output.speeds.size(), 3U);
+    EXPECT_EQ(output.speed_tokens[2], output.speed_tokens[1]);
+}
+
 TEST_F(owner_order, the_newest_speed_follows_the_answer_to_an_older_one) {
     const auto [serving, filler] = start_serving_and_best_effort();
     poll_with_tail_latency(serving, filler, 90);
