Owner: do not use answers that lack ends of the next process

Seen by callers: a task runs again after its end (TWICE). Found by `placement_copy.histories_keep_the_rules` once a guard reaches next processes while polls are pending; the list of targets could show one as early before.

Cause: a poll names the last end that the owner has read, by the numbers of one process. If the next process answers it, the answer lacks the ends up to that number. Once another answer, or the list, had made the new process known, the remaining ends counted as all of them: the ones before were never read, their runs vanished and started again. Change: an answer to a poll that names a later end than the owner has read of the known process tells that there is a new process, but its lists are not used. The simulated guard also tells the owner of a process only after one had been out of reach, as the real one does.

--- a/src/dispatch/order_type.hpp
+++ b/src/dispatch/order_type.hpp
@@ -66,6 +66,8 @@
 struct poll_answer {
     order_answer order;
     bool concurrent = false; ///< As in the order.
+    /** As in the order: `ended` lacks the ends up to this one. */
+    std::int64_t last_seen = 0;
     /** False: runs may exist that `running` does not contain. */
     bool complete = true;
     /** False: runs may have ended whose ends `ended` does not contain. */
--- a/src/dispatch/owner_poll.cpp
+++ b/src/dispatch/owner_poll.cpp
@@ -142,6 +142,14 @@
         }
         replace_process(target, answer.incarnation, clock);
     }
+    // The poll was meant for an earlier process: ends of this one may be
+    // missing in the answer.
+    if (answer.last_seen > target.last_applied_end) {
+        output_.log("answer_incomplete", {},
+                    "target=" + id.value +
+                        " last_seen=" + std::to_string(answer.last_seen));
+        return;
+    }
     // Answers of two concurrent polls may arrive out of order.
     if (answer.order.clock_ms < target.last_poll_clock_ms)
         return;
--- a/src/front/owner_service.cpp
+++ b/src/front/owner_service.cpp
@@ -597,9 +597,11 @@
     target_client_.poll(
         target, order,
         guarded([this, id = target.id, concurrent = order.concurrent,
+                 last_seen = order.last_seen,
                  sent_at = event_loop::now()](const poll_answer& answer) {
             poll_answer reply = answer;
             reply.concurrent = concurrent;
+            reply.last_seen = last_seen;
             owner_.poll_answered(id, reply, sent_at, clock());
             schedule_tick();
         }));
--- a/tests/dispatch_world.cpp
+++ b/tests/dispatch_world.cpp
@@ -572,6 +572,10 @@
     target_guard& guard = guards_[address.id];
     guard.fencing_token = fencing_token;
     guard.until = now_ + duration.count();
+    guard.out_of_reach |=
+        guard.reached_life != 0 &&
+        guard.reached_life !=
+            targets_[static_cast<size_t>(index_of(address.id))].lives;
     guard.reached_life = 0;
     if (!std::exchange(guard.running, true))
         run_guard(address.id);
@@ -584,6 +588,8 @@
         guard.running = false;
         return;
     }
+    guard.out_of_reach |= !answers(id) || (guard.reached_life != 0 &&
+                                           guard.reached_life != target.lives);
     if (guard.reached_life != target.lives)
         after(options_.order_latency / 2, [this, id] {
             fake_target& probed = targets_[static_cast<size_t>(index_of(id))];
@@ -595,8 +601,9 @@
                 probed.fencing_token = current.fencing_token;
                 probed.reached = true;
             }
-            deliver_answer(
-                [this, id] { owner_->process_reached(id, clock()); });
+            if (std::exchange(current.out_of_reach, false))
+                deliver_answer(
+                    [this, id] { owner_->process_reached(id, clock()); });
         });
     after(target.silent ? SILENT_PROBE_PERIOD : options_.probe_period,
           [this, id] { run_guard(id); });
@@ -634,6 +641,7 @@
                                  .clock_ms = clock_of(target),
                                  .fencing_token = order.fencing_token},
                        .concurrent = order.concurrent,
+                       .last_seen = order.last_seen,
                        .incarnation = target.entry.incarnation};
     for (const auto& [task, run] : target.runs)
         answer.running.push_back(
--- a/tests/dispatch_world.hpp
+++ b/tests/dispatch_world.hpp
@@ -381,6 +381,8 @@
         std::int64_t fencing_token = 0;
         std::int64_t until = 0;
         int reached_life = 0; ///< Process that has seen the token.
+        /** The owner has to learn of the next one that is reached. */
+        bool out_of_reach = false;
         bool running = false;
     };
     struct event {
--- a/tests/owner_order_test.cpp
+++ b/tests/owner_order_test.cpp
@@ -463,6 +463,45 @@
     EXPECT_TRUE(leftover_runs_of("first").empty());
 }
 
+// The next process of a target answers two polls that overlap; the one that was
+// sent before the restart names an end of the earlier process. Guards against
+// ends that this answer lacks and that are then taken for processed.
+TEST_F(owner_order, answer_to_a_poll_of_an_earlier_process_hides_no_end) {
+    const auto answer = [&](const poll_answer& lists, mono_time sent_at) {
+        poll_answer out = lists;
+        out.order = {
+            .answered = true, .sent = true, .done = true, .clock_ms = now_ms};
+        out.incarnation = INCARNATION + 1;
+        under_test.poll_answered(TARGET, out, sent_at, clock());
+        tick();
+    };
+    const mono_time before_restart = clock().now;
+    tick();
+    answer({.concurrent = true}, clock().now);
+    target_entry restarted = entry();
+    restarted.incarnation = INCARNATION + 1;
+    under_test.target_listed(restarted, clock());
+    tick();
+    answer({}, clock().now);
+    accept("first", {});
+    accept("second", {});
+    ASSERT_EQ(output.starts.size(), 2U);
+    confirm_start(output.starts[0]);
+    confirm_start(output.starts[1]);
+    const listed_end first{
+        .sequence = 1, .task = output.starts[0].task, .run = 1};
+    const listed_end second{
+        .sequence = 2, .task = output.starts[1].task, .run = 1};
+    answer({.last_seen = 1, .ended = {second}}, before_restart);
+    tick();
+    answer({.ended = {first, second}}, clock().now);
+    tick();
+    tick();
+    EXPECT_EQ(under_test.state_of({"first"}, {}), job_state::completed);
+    EXPECT_EQ(under_test.state_of({"second"}, {}), job_state::completed);
+    EXPECT_EQ(output.starts.size(), 2U);
+}
+
 // A start without an answer is stopped and its run released, yet a process that
 // takes the place of the known one may still carry it out. Guards against
 // acknowledging an end of that process unread, by the position of the earlier.
