Delegates: do not make a call that comes late

In a cell of more than 120 targets other hosts send the owner's starts. One that stands still sends them when it wakes, at any later time, while the owner counts on 15 s for an order without an answer.

Cause: a forwarded call tells how long it may take, not since when. Change: it carries the time at which it was sent. A host that gets it more than 1 s after its timeout does not make it and says so; if clocks differ that much, the owner makes the call itself. With 12 s at the target a start then comes within the 15 s for which its target is guarded.

--- a/proto/rattan.thrift
+++ b/proto/rattan.thrift
@@ -177,7 +177,8 @@
     1: required string url,
     2: required string body,
     3: required list<string> headers,
-    4: required i32 timeout_ms
+    4: required i32 timeout_ms,
+    5: optional i64 sent_ms    // Unix time; a call that comes late is not made
 }
 
 struct guard_request {
--- a/src/front/delegate_service.cpp
+++ b/src/front/delegate_service.cpp
@@ -1,6 +1,7 @@
 #include "front/delegate_service.hpp"
 
 #include "base/log_func.hpp"
+#include "net/program_runtime.hpp"
 #include "net/thrift_codec.hpp"
 
 #include <xxhash.h>
@@ -20,6 +21,12 @@
  * out first, so a timeout here means that the other host does not respond.
  */
 constexpr millis FORWARD_TIMEOUT_MARGIN{800};
+/**
+ * A forwarded call that comes later than its timeout and this, by the wall
+ * clocks of both hosts, is not made: the host that received it stood still, and
+ * the owner has given the call up.
+ */
+constexpr millis MAX_FORWARD_DELAY{1000};
 
 } // namespace
 
@@ -64,6 +71,7 @@
     request.body = call.body;
     request.headers = call.headers;
     request.timeout_ms = static_cast<std::int32_t>(call.timeout.count());
+    request.__set_sent_ms(wall_millis());
     members_.peer(address).call(
         wire::method::CALL, wire_encode(request),
         call.timeout + FORWARD_TIMEOUT_MARGIN,
@@ -79,7 +87,9 @@
             excluded_until_[address] = event_loop::now() + EXCLUSION_PERIOD;
             log_event(log_level::warning, "delegate_failed",
                       {{"address", address}});
-            if (answer.outcome == rpc_outcome::not_sent)
+            if (answer.outcome == rpc_outcome::not_sent ||
+                (answer.outcome == rpc_outcome::answered &&
+                 answer.code == wire::status::UNAVAILABLE))
                 return http_.call(call, done);
             done({.outcome = http_outcome::unknown});
         });
@@ -90,6 +100,14 @@
     server.on(wire::method::CALL, [&http](const std::string& body,
                                           rpc_server::responder answer) {
         auto request = wire_decode<wire::call_request>(body);
+        if (request.__isset.sent_ms &&
+            wall_millis() - request.sent_ms >
+                request.timeout_ms + MAX_FORWARD_DELAY.count()) {
+            log_event(log_level::warning, "forwarded_call_late",
+                      {{"sent_ms", std::to_string(request.sent_ms)},
+                       {"timeout_ms", std::to_string(request.timeout_ms)}});
+            return answer(wire::status::UNAVAILABLE, "");
+        }
         http.call({.method = "POST",
                    .url = std::move(request.url),
                    .body = std::move(request.body),
