Restart guard: bound the connections of a guard and the guarded targets

Cause: found by reading. A target at its limit of connections closes each one at once, so a guard would open them as fast as probes are sent. Of two requests for one target the later may end sooner; the target then left the table while it was still probed, which ended the process (std::out_of_range). Change: a guard opens eight connections at most, then relies on polls; a guard lasts until the later end; a host guards 1,024 targets.

--- a/src/front/restart_guard.cpp
+++ b/src/front/restart_guard.cpp
@@ -7,6 +7,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cassert>
 #include <ctime>
 #include <utility>
 
@@ -23,6 +24,9 @@
 constexpr long MAX_PROBE_CONNECTIONS_PER_TARGET = 4;
 /** Connections that show the end of a process; further targets have none. */
 constexpr std::size_t MAX_WATCHES = 64;
+/** A target may close each connection at once, as it has too many. */
+constexpr int MAX_WATCHES_PER_GUARD = 8;
+constexpr std::size_t MAX_TARGETS = 1024; ///< Guarded at once.
 /** Answers to probes are not read; further bytes end the call. */
 constexpr std::size_t MAX_ANSWER_BYTES = 16U << 10U;
 /** A target that has lost power drops requests to connect. */
@@ -89,7 +93,9 @@
                                millis duration, std::function<void()> reached) {
     const std::string address = address_of(poll);
     const std::int64_t until_us = event_loop::now_micros() + micros(duration);
-    if (!is_address(address) || !rotation_.add(target, until_us))
+    const bool full =
+        targets_.size() >= MAX_TARGETS && !targets_.contains(target);
+    if (full || !is_address(address) || !rotation_.add(target, until_us))
         return false;
     guarded_target& guarded = targets_[target];
     if (guarded.address != address && guarded.connection) {
@@ -102,7 +108,9 @@
     guarded.poll.timeout = PROBE_TIMEOUT;
     guarded.poll.connect_timeout = CONNECT_TIMEOUT;
     guarded.reached = std::move(reached);
-    guarded.until_us = until_us;
+    // Requests of two owners may overtake each other.
+    guarded.until_us = std::max(guarded.until_us, until_us);
+    guarded.connections_left = MAX_WATCHES_PER_GUARD;
     if (!timer_)
         timer_ =
             std::make_unique<micro_timer>(loop_, [this] { send_due_probe(); });
@@ -159,9 +167,10 @@
 }
 
 void restart_guard::watch(const std::string& target, guarded_target& guarded) {
-    if (watches_ >= MAX_WATCHES)
+    if (watches_ >= MAX_WATCHES || guarded.connections_left == 0)
         return;
     ++watches_;
+    --guarded.connections_left;
     guarded.connection = std::make_unique<connection_watch>(
         loop_, guarded.address,
         connection_watch::callbacks{
@@ -197,6 +206,7 @@
     const auto target = rotation_.next(now_us);
     if (!target)
         return timer_->set(now_us + IDLE_PERIOD_US);
+    assert(targets_.contains(*target));
     ++metrics_.counter("probes_sent");
     pacer_.sent(now_us, used_processor_micros());
     http_.call(targets_.at(*target).poll,
--- a/src/front/restart_guard.hpp
+++ b/src/front/restart_guard.hpp
@@ -52,6 +52,8 @@
         std::function<void()> reached;
         std::int64_t until_us = 0;
         bool out_of_reach = false; ///< Since the last answer.
+        /** Connections that may still be opened. */
+        int connections_left = 0;
         /** Empty before the first answer, and while the process is gone. */
         std::unique_ptr<connection_watch> connection;
     };
