Restart guard: send the next probe when one ends

Cause: a host had two pending probes for a target and then looked again after 1 ms. Change: four pending probes for a target, and the end of one sends the next.

--- a/src/dispatch/probe_rotation.cpp
+++ b/src/dispatch/probe_rotation.cpp
@@ -7,8 +7,11 @@
 namespace {
 
 constexpr std::size_t MAX_TARGETS = 1024;
-/** A probe without an answer must not keep the next one from being sent. */
-constexpr int MAX_PENDING_PER_TARGET = 2;
+/**
+ * A slow probe must not keep the next one from being sent; nine hosts together
+ * must leave connections of the target to its owner.
+ */
+constexpr int MAX_PENDING_PER_TARGET = 4;
 /** Bounds the connections of the host; each pending probe has one. */
 constexpr int MAX_PENDING = 32;
 /** After an answer that is not the target's, which will not change soon. */
--- a/src/front/restart_guard.cpp
+++ b/src/front/restart_guard.cpp
@@ -228,6 +228,8 @@
                     : result.status != 0 ? probe_end::refused
                                          : probe_end::unanswered,
                     event_loop::now_micros());
+    // The next one may have waited for this one.
+    send_due_probe();
     const auto found = targets_.find(target);
     if (found == targets_.end())
         return;
