Restart guard: log how a target was probed before it was reached

Neither logs nor metrics tell whether a host probed too slowly, stood still at the wrong moment, or sent probes that took long. The event target_reached has the number of probes, the longest time between two and the time of the answered one. The two counters of probes get the names that docs/OPERATIONS.md states.

--- a/src/front/restart_guard.cpp
+++ b/src/front/restart_guard.cpp
@@ -207,18 +207,21 @@
     if (!target)
         return timer_->set(now_us + IDLE_PERIOD_US);
     assert(targets_.contains(*target));
-    ++metrics_.counter("probes_sent");
+    guarded_target& guarded = targets_.at(*target);
+    ++metrics_.counter("rattan_probes_sent_total");
+    guarded.probes.sent(now_us);
     pacer_.sent(now_us, used_processor_micros());
-    http_.call(targets_.at(*target).poll,
-               [this, target = *target,
+    http_.call(guarded.poll,
+               [this, target = *target, now_us,
                 alive = std::weak_ptr(alive_)](const http_call_result& result) {
                    if (!alive.expired())
-                       handle_probe_end(target, result);
+                       handle_probe_end(target, now_us, result);
                });
     timer_->set(pacer_.next_us());
 }
 
 void restart_guard::handle_probe_end(const std::string& target,
+                                     std::int64_t sent_us,
                                      const http_call_result& result) {
     // A target that refuses the token has seen a higher one.
     const bool reached =
@@ -238,10 +241,20 @@
         guarded.out_of_reach = true;
         return;
     }
-    ++metrics_.counter("probes_answered");
+    ++metrics_.counter("rattan_probes_answered_total");
     if (!guarded.connection)
         watch(target, guarded);
-    if (std::exchange(guarded.out_of_reach, false) && guarded.reached)
+    const auto probes = std::exchange(guarded.probes, {});
+    if (!std::exchange(guarded.out_of_reach, false))
+        return;
+    const std::int64_t now_us = event_loop::now_micros();
+    log_event(log_level::info, "target_reached",
+              {{"target", target},
+               {"probes", std::to_string(probes.probes)},
+               {"probed_us", std::to_string(now_us - probes.first_us)},
+               {"longest_pause_us", std::to_string(probes.longest_pause_us)},
+               {"answered_after_us", std::to_string(now_us - sent_us)}});
+    if (guarded.reached)
         guarded.reached();
 }
 
--- a/src/front/restart_guard.hpp
+++ b/src/front/restart_guard.hpp
@@ -4,6 +4,7 @@
 #include "base/metrics_base.hpp"
 #include "dispatch/probe_pacer.hpp"
 #include "dispatch/probe_rotation.hpp"
+#include "dispatch/probe_series.hpp"
 #include "front/member_service.hpp"
 #include "net/connection_watch.hpp"
 #include "net/http_client.hpp"
@@ -51,7 +52,8 @@
         http_call poll;
         std::function<void()> reached;
         std::int64_t until_us = 0;
-        bool out_of_reach = false; ///< Since the last answer.
+        bool out_of_reach = false;     ///< Since the last answer.
+        dispatch::probe_series probes; ///< Since the last answer.
         /** Connections that may still be opened. */
         int connections_left = 0;
         /** Empty before the first answer, and while the process is gone. */
@@ -69,7 +71,7 @@
     void begin_probes(const std::string& target);
     /** Sends the probe that is due, if any, and waits for the next one. */
     void send_due_probe();
-    void handle_probe_end(const std::string& target,
+    void handle_probe_end(const std::string& target, std::int64_t sent_us,
                           const http_call_result& result);
     /** Ends the guards whose time is over. */
     void end_guards();
