Tests: let guards of the simulation wait for a change of their target

A guard has no effect while its target is down or has seen the token, so it now waits until the state of the target changes. A probe that was on its way at that moment still arrives.

--- a/tests/dispatch_world.cpp
+++ b/tests/dispatch_world.cpp
@@ -577,7 +577,7 @@
         guard.reached_life !=
             targets_[static_cast<size_t>(index_of(address.id))].lives;
     guard.reached_life = 0;
-    if (!std::exchange(guard.running, true))
+    if (!std::exchange(guard.running, true) || std::exchange(guard.idle, false))
         run_guard(address.id);
 }
 
@@ -590,25 +590,45 @@
     }
     guard.out_of_reach |= !answers(id) || (guard.reached_life != 0 &&
                                            guard.reached_life != target.lives);
+    // No probe has an effect before the state of the target changes.
+    if (!target.silent &&
+        (!answers(id) || guard.reached_life == target.lives)) {
+        guard.idle = true;
+        guard.probing = !answers(id);
+        return;
+    }
     if (guard.reached_life != target.lives)
-        after(options_.order_latency / 2, [this, id] {
-            fake_target& probed = targets_[static_cast<size_t>(index_of(id))];
-            target_guard& current = guards_[id];
-            if (!answers(id) || current.reached_life == probed.lives)
-                return;
-            current.reached_life = probed.lives;
-            if (current.fencing_token >= probed.fencing_token) {
-                probed.fencing_token = current.fencing_token;
-                probed.reached = true;
-            }
-            if (std::exchange(current.out_of_reach, false))
-                deliver_answer(
-                    [this, id] { owner_->process_reached(id, clock()); });
-        });
+        after(options_.order_latency / 2, [this, id] { probe_guarded(id); });
     after(target.silent ? SILENT_PROBE_PERIOD : options_.probe_period,
           [this, id] { run_guard(id); });
 }
 
+void simulated_cell::probe_guarded(const target_id& id) {
+    const fake_target& found = targets_[static_cast<size_t>(index_of(id))];
+    target_guard& guard = guards_[id];
+    if (!answers(id) || guard.reached_life == found.lives)
+        return;
+    guard.reached_life = found.lives;
+    fake_target& probed = targets_[static_cast<size_t>(index_of(id))];
+    if (guard.fencing_token >= probed.fencing_token) {
+        probed.fencing_token = guard.fencing_token;
+        probed.reached = true;
+    }
+    if (std::exchange(guard.out_of_reach, false))
+        deliver_answer([this, id] { owner_->process_reached(id, clock()); });
+}
+
+void simulated_cell::resume_guards(int target) {
+    for (auto& [id, guard] : guards_) {
+        if (index_of(id) != target || !std::exchange(guard.idle, false))
+            continue;
+        // One that was sent while the process was gone arrives now.
+        if (guard.probing)
+            after(millis(0), [this, id = id] { probe_guarded(id); });
+        after(millis(0), [this, id = id] { run_guard(id); });
+    }
+}
+
 bool simulated_cell::answers(const target_id& id) const {
     const fake_target& target = targets_[static_cast<size_t>(index_of(id))];
     return !target.silent && !target.down && target.entry.id == id;
@@ -786,6 +806,7 @@
 
 void simulated_cell::set_silent(int target, bool silent) {
     targets_[static_cast<size_t>(target)].silent = silent;
+    resume_guards(target);
 }
 
 void simulated_cell::replace_process(int target, std::int64_t difference) {
@@ -793,6 +814,7 @@
     reset(replaced);
     replaced.entry.incarnation += difference;
     ++replaced.lives;
+    resume_guards(target);
 }
 
 void simulated_cell::restart_target(int target, std::int64_t difference) {
@@ -847,6 +869,7 @@
     fake_target& target = targets_[static_cast<size_t>(index)];
     if (std::exchange(target.down, true))
         return;
+    resume_guards(index);
     reset(target);
     if (target.pending_poll)
         std::exchange(target.pending_poll, nullptr)();
@@ -867,6 +890,7 @@
         if (!options.keeps_id)
             back.entry.id = {target_name(index).value + "." +
                              std::to_string(back.lives)};
+        resume_guards(index);
         after(options.list_delay,
               [this, entry = back.entry] { list_target(entry); });
     });
--- a/tests/dispatch_world.hpp
+++ b/tests/dispatch_world.hpp
@@ -384,6 +384,10 @@
         /** The owner has to learn of the next one that is reached. */
         bool out_of_reach = false;
         bool running = false;
+        /** Goes on when the state of the target changes. */
+        bool idle = false;
+        /** Probes are sent while it is idle; none is answered. */
+        bool probing = false;
     };
     struct event {
         std::int64_t at;
@@ -423,6 +427,10 @@
                           mono_time sent_at);
     /** Probes a guarded target if it has a new process. */
     void run_guard(const target_id& target);
+    /** A probe of a guarded target arrives. */
+    void probe_guarded(const target_id& target);
+    /** Goes on with the idle guards of a target whose state has changed. */
+    void resume_guards(int target);
     /** The owner learns that a poll has no answer. */
     void fail_poll(const target_id& target, const poll_order& order,
                    mono_time sent_at, millis delay);
