Restart guard: probe on a thread of its own, evenly over the hosts

A probe cost 125 us of processor time and more, most of it the HTTP client, the event loop and the pacer; it waited for the owner's tick; a burst of other work of 5 ms stopped the probes of a host for 20 ms; and hosts that began at the same event sent at the same moments.

Probes now leave on a thread of their own, over a socket that carries the request as soon as it is open. The pacer counts other work by its mean, and gives each host slots that are apart from those of the others. Where probes delay each other, they are sent less often. An answer to an earlier request no longer ends the probes for a newer token.

--- a/src/dispatch/probe_pacer.cpp
+++ b/src/dispatch/probe_pacer.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/probe_pacer.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace rattan::dispatch {
 
@@ -11,30 +12,114 @@
 constexpr double USABLE_SHARE = 0.75;
 /** Share of a host that states none. */
 constexpr std::int64_t DEFAULT_MILLI_CORES = 1000;
-/** At most this many probes a second, whatever they cost. */
-constexpr std::int64_t MIN_SPACING_US = 200;
+/** Between two slots of a host; no more probes are sent, whatever they cost. */
+constexpr std::int64_t SLOT_PERIOD_US = 200;
 /** Probes go on at this period while other work takes all of the share. */
 constexpr double MAX_SPACING_US = 20'000;
-/** Bound of what may be spent at once; a share is a quota for each 100 ms. */
+/** A share is a quota for each 100 ms; what is overspent is repaid in that. */
+constexpr double QUOTA_PERIOD_US = 100'000;
 constexpr double MAX_CREDIT_US = 2'000;
+/** Period over which other work is averaged. */
+constexpr double OTHER_WORK_PERIOD_US = 200'000;
+/** Number of probes over which their cost is averaged. */
+constexpr double COST_PROBES = 32;
+/** Number of probes over which their delay is averaged. */
+constexpr double MEAN_DELAYS = 64;
+/** Bounds what one probe that was held up adds to the mean. */
+constexpr std::int64_t MAX_DELAY_US = 1'000;
+/**
+ * Means, as parts of the spacing, above and below which it is doubled and
+ * halved. On average a spacing delays the next probe by half of itself.
+ */
+constexpr double LONG_DELAY = 0.5;
+constexpr double SHORT_DELAY = 0.125;
+constexpr int MAX_LEAST_SLOTS = 4;
+/** Its multiples, without their whole parts, are evenly distributed. */
+constexpr double GOLDEN_RATIO = 0.6180339887498949;
 
 } // namespace
 
 probe_pacer::probe_pacer(std::int64_t milli_cores)
     : share_(static_cast<double>(milli_cores > 0 ? milli_cores
                                                  : DEFAULT_MILLI_CORES) /
-             MILLI_CORES_PER_CORE * USABLE_SHARE) {}
-
-void probe_pacer::sent(std::int64_t now_us, std::int64_t used_us) {
-    const double earned_us = static_cast<double>(now_us - sent_us_) * share_;
-    const auto spent_us = static_cast<double>(used_us - used_us_);
-    credit_us_ = std::clamp(credit_us_ + earned_us - spent_us,
-                            -MAX_SPACING_US * share_, MAX_CREDIT_US);
-    sent_us_ = now_us;
-    used_us_ = used_us;
-    const auto repaid_us =
-        static_cast<std::int64_t>(std::max(0.0, -credit_us_) / share_);
-    next_us_ = now_us + std::max(MIN_SPACING_US, repaid_us);
+             MILLI_CORES_PER_CORE * USABLE_SHARE) {
+    update_costs(0, 0, 0);
+}
+
+void probe_pacer::place_slots(std::size_t rank, std::int64_t wall_offset_us) {
+    const double turns = static_cast<double>(rank) * GOLDEN_RATIO;
+    slot_offset_us_ =
+        static_cast<std::int64_t>((turns - std::floor(turns)) *
+                                  static_cast<double>(SLOT_PERIOD_US)) -
+        wall_offset_us;
+}
+
+std::int64_t probe_pacer::slot_before(std::int64_t now_us) const {
+    const std::int64_t phase_us = (now_us - slot_offset_us_) % SLOT_PERIOD_US;
+    return now_us - phase_us - (phase_us < 0 ? SLOT_PERIOD_US : 0);
+}
+
+void probe_pacer::measure(std::int64_t now_us, std::int64_t process_us,
+                          std::int64_t probes_us) {
+    update_costs(static_cast<double>(now_us - measured_us_),
+                 static_cast<double>(process_us - process_us_),
+                 static_cast<double>(probes_us - probes_us_));
+    measured_us_ = now_us;
+    process_us_ = process_us;
+    probes_us_ = probes_us;
+    probes_ = 0;
+}
+
+void probe_pacer::update_costs(double elapsed_us, double process_us,
+                               double probes_us) {
+    if (probes_ > 0) {
+        const auto probes = static_cast<double>(probes_);
+        const double weight = probes / (probes + COST_PROBES);
+        cost_us_ += weight * (probes_us / probes - cost_us_);
+    }
+    if (elapsed_us > 0) {
+        const double other = (process_us - probes_us) / elapsed_us;
+        const double weight = std::min(1.0, elapsed_us / OTHER_WORK_PERIOD_US);
+        other_share_ += weight * (other - other_share_);
+    }
+    balance_us_ = std::clamp(balance_us_ + elapsed_us * share_ - process_us,
+                             -QUOTA_PERIOD_US * share_, MAX_CREDIT_US);
+    const double usable = share_ - other_share_ + balance_us_ / QUOTA_PERIOD_US;
+    spacing_us_ = usable > 0 ? std::min(cost_us_ / usable, MAX_SPACING_US)
+                             : MAX_SPACING_US;
+}
+
+void probe_pacer::sent(std::int64_t now_us) {
+    ++probes_;
+    // Each slot gives a part of a probe.
+    const auto least_us =
+        static_cast<double>(SLOT_PERIOD_US * std::int64_t{least_slots_});
+    const double part =
+        static_cast<double>(SLOT_PERIOD_US) / std::max(spacing_us_, least_us);
+    const double slots = std::max(1.0, std::ceil((1 - credit_) / part));
+    credit_ = std::min(1.0, credit_ + slots * part - 1);
+    next_us_ =
+        slot_before(now_us) + static_cast<std::int64_t>(slots) * SLOT_PERIOD_US;
+}
+
+void probe_pacer::skipped(std::int64_t now_us) {
+    next_us_ = slot_before(now_us) + SLOT_PERIOD_US;
+}
+
+void probe_pacer::add_delay(std::int64_t delay_us) {
+    const auto bounded_us =
+        static_cast<double>(std::min(delay_us, MAX_DELAY_US));
+    delay_us_ += (bounded_us - delay_us_) / MEAN_DELAYS;
+    const auto least_us =
+        static_cast<double>(SLOT_PERIOD_US * std::int64_t{least_slots_});
+    if (delay_us_ > LONG_DELAY * least_us && least_slots_ < MAX_LEAST_SLOTS) {
+        least_slots_ *= 2;
+        // The mean of the new spacing is not known.
+        delay_us_ = (LONG_DELAY + SHORT_DELAY) / 2 * least_us * 2;
+    } else if (delay_us_ < SHORT_DELAY * least_us && least_slots_ > 1) {
+        least_slots_ /= 2;
+        delay_us_ = (LONG_DELAY + SHORT_DELAY) / 2 * least_us / 2;
+    }
 }
 
 } // namespace rattan::dispatch
--- a/src/dispatch/probe_pacer.hpp
+++ b/src/dispatch/probe_pacer.hpp
@@ -1,6 +1,7 @@
 /** @file Processor time that a host may spend on probes. */
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 
 namespace rattan::dispatch {
@@ -8,7 +9,9 @@
 /**
  * Spaces the probes of a host so that the process, with all its other work,
  * uses at most three quarters of the host's processor share while it probes.
- * Times are in microseconds.
+ * Probes are sent in slots, which the hosts place evenly by the wall clock. A
+ * burst of other work lengthens the spacing a little for some time in place of
+ * a pause. Times are in microseconds.
  */
 class probe_pacer {
 public:
@@ -16,20 +19,64 @@
     explicit probe_pacer(std::int64_t milli_cores);
 
     /**
-     * Reports that a probe is sent.
-     * @param used_us Processor time that the process has used so far. What this
-     * probe costs counts when the next one is sent.
+     * Places the slots of this host.
+     * @param rank Place among the hosts; their slots are far apart whatever
+     * their number.
+     * @param wall_offset_us The wall clock minus the clock of all other times.
      */
-    void sent(std::int64_t now_us, std::int64_t used_us);
+    void place_slots(std::size_t rank, std::int64_t wall_offset_us);
 
-    /** When the next probe may be sent. */
+    /**
+     * Reports the processor time used so far; due every `MEASURE_PERIOD_US`
+     * while probes are sent. The first call counts from time 0.
+     * @param process_us Of the process.
+     * @param probes_us Part of it that probes took.
+     */
+    void measure(std::int64_t now_us, std::int64_t process_us,
+                 std::int64_t probes_us);
+    [[nodiscard]] bool measure_due(std::int64_t now_us) const {
+        return now_us - measured_us_ >= MEASURE_PERIOD_US;
+    }
+
+    /** Reports that a probe is sent. */
+    void sent(std::int64_t now_us);
+
+    /** Reports that a slot is not used, as too many probes are pending. */
+    void skipped(std::int64_t now_us);
+
+    /**
+     * Reports how much longer than the shortest one to its target a probe took.
+     * Probes that wait for each other on their way arrive late, so they are
+     * sent less often while that delays them more than a longer spacing would.
+     */
+    void add_delay(std::int64_t delay_us);
+
+    /** The next slot in which a probe may be sent. */
     [[nodiscard]] std::int64_t next_us() const { return next_us_; }
 
 private:
-    double share_;         ///< Cores.
-    double credit_us_ = 0; ///< Processor time left; negative: overspent.
-    std::int64_t sent_us_ = 0;
-    std::int64_t used_us_ = 0; ///< At that time.
+    static constexpr std::int64_t MEASURE_PERIOD_US = 10'000;
+    /** Assumed cost of a probe before one has been measured. */
+    static constexpr double INITIAL_COST_US = 60;
+
+    void update_costs(double elapsed_us, double process_us, double probes_us);
+
+    /** The last slot that has begun. */
+    [[nodiscard]] std::int64_t slot_before(std::int64_t now_us) const;
+
+    double share_; ///< Cores.
+    std::int64_t slot_offset_us_ = 0;
+    double cost_us_ = INITIAL_COST_US; ///< Mean of one probe.
+    double other_share_ = 0;           ///< Mean of other work, in cores.
+    double balance_us_ = 0; ///< Processor time left; negative: overspent.
+    double spacing_us_ = 0;
+    double delay_us_ = 0;     ///< Mean of the last probes.
+    int least_slots_ = 1;     ///< Least spacing because of delays.
+    double credit_ = 0;       ///< Part of a probe that may be sent early.
+    std::int64_t probes_ = 0; ///< Since the last measurement.
+    std::int64_t measured_us_ = 0;
+    std::int64_t process_us_ = 0; ///< At that time.
+    std::int64_t probes_us_ = 0;  ///< At that time.
     std::int64_t next_us_ = 0;
 };
 
--- a/src/front/restart_guard.cpp
+++ b/src/front/restart_guard.cpp
@@ -1,68 +1,34 @@
 #include "front/restart_guard.hpp"
 
-#include "base/address_func.hpp"
 #include "base/log_func.hpp"
 #include "net/thrift_codec.hpp"
 
 #include <xxhash.h>
 
 #include <algorithm>
-#include <cassert>
-#include <ctime>
 #include <utility>
 
 namespace rattan::front {
 
 namespace {
 
-using dispatch::probe_end;
-
-constexpr int HTTP_OK = 200;
-constexpr int HTTP_CONFLICT = 409;
-/** Connections of all pending probes. */
-constexpr long MAX_PROBE_CONNECTIONS = 32;
-constexpr long MAX_PROBE_CONNECTIONS_PER_TARGET = 4;
 /** Connections that show the end of a process; further targets have none. */
 constexpr std::size_t MAX_WATCHES = 64;
 /** A target may close each connection at once, as it has too many. */
 constexpr int MAX_WATCHES_PER_GUARD = 8;
 constexpr std::size_t MAX_TARGETS = 1024; ///< Guarded at once.
-/** Answers to probes are not read; further bytes end the call. */
-constexpr std::size_t MAX_ANSWER_BYTES = 16U << 10U;
-/** A target that has lost power drops requests to connect. */
-constexpr millis CONNECT_TIMEOUT{100};
-constexpr millis PROBE_TIMEOUT{250};
 /** Other hosts that guard one target, and their sum over all targets. */
 constexpr std::size_t MAX_HELPERS = 8;
 constexpr std::size_t MAX_HELPERS_OF_ALL = 32;
 /** Longest time for which another host may have a target guarded. */
 constexpr millis MAX_SHARED_DURATION{20'000};
 constexpr millis SHARE_TIMEOUT{700};
-/** Until the next attempt if each target has enough pending probes. */
-constexpr std::int64_t IDLE_PERIOD_US = 1'000;
 constexpr millis END_CHECK_PERIOD{500};
 
-std::int64_t used_processor_micros() {
-    constexpr std::int64_t MICROS_PER_SECOND = 1'000'000;
-    constexpr std::int64_t NANOS_PER_MICRO = 1'000;
-    timespec used{};
-    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &used);
-    return used.tv_sec * MICROS_PER_SECOND + used.tv_nsec / NANOS_PER_MICRO;
-}
-
 std::int64_t micros(millis time) {
     return std::chrono::duration_cast<std::chrono::microseconds>(time).count();
 }
 
-/** The IP and port in the URL of a call; empty if it has none. */
-std::string address_of(const http_call& call) {
-    constexpr std::string_view scheme = "http://";
-    if (!call.url.starts_with(scheme))
-        return {};
-    return call.url.substr(scheme.size(),
-                           call.url.find('/', scheme.size()) - scheme.size());
-}
-
 } // namespace
 
 restart_guard::restart_guard(event_loop& loop, member_service& members,
@@ -70,11 +36,9 @@
                              std::int64_t milli_cores)
     : loop_(loop), members_(members), metrics_(metrics),
       own_host_(std::move(own_host)),
-      http_(loop, {.connections_per_server = MAX_PROBE_CONNECTIONS_PER_TARGET,
-                   .idle_s = 1,
-                   .connections = MAX_PROBE_CONNECTIONS,
-                   .response_bytes = MAX_ANSWER_BYTES}),
-      pacer_(milli_cores) {}
+      prober_(loop, milli_cores, [this](const reached_target& reached) {
+          handle_reached(reached);
+      }) {}
 
 restart_guard::~restart_guard() {
     alive_.reset();
@@ -91,35 +55,28 @@
 
 bool restart_guard::guard_here(const std::string& target, const http_call& poll,
                                millis duration, std::function<void()> reached) {
-    const std::string address = address_of(poll);
+    auto request = encode_probe(poll);
     const std::int64_t until_us = event_loop::now_micros() + micros(duration);
     const bool full =
         targets_.size() >= MAX_TARGETS && !targets_.contains(target);
-    if (full || !is_address(address) || !rotation_.add(target, until_us))
+    if (full || !request)
         return false;
     guarded_target& guarded = targets_[target];
-    if (guarded.address != address && guarded.connection) {
+    if (guarded.poll.address != request->address && guarded.connection) {
         guarded.connection.reset();
         --watches_;
     }
-    guarded.address = address;
-    guarded.poll = poll;
-    guarded.poll.headers.emplace_back("Connection: close");
-    guarded.poll.timeout = PROBE_TIMEOUT;
-    guarded.poll.connect_timeout = CONNECT_TIMEOUT;
+    guarded.poll = std::move(*request);
     guarded.reached = std::move(reached);
     // Requests of two owners may overtake each other.
     guarded.until_us = std::max(guarded.until_us, until_us);
     guarded.connections_left = MAX_WATCHES_PER_GUARD;
-    if (!timer_)
-        timer_ =
-            std::make_unique<micro_timer>(loop_, [this] { send_due_probe(); });
     if (!std::exchange(end_scheduled_, true))
         loop_.after(END_CHECK_PERIOD, [this, alive = std::weak_ptr(alive_)] {
             if (!alive.expired())
                 end_guards();
         });
-    send_due_probe();
+    begin_probes(target);
     return true;
 }
 
@@ -172,7 +129,7 @@
     ++watches_;
     --guarded.connections_left;
     guarded.connection = std::make_unique<connection_watch>(
-        loop_, guarded.address,
+        loop_, guarded.poll.address,
         connection_watch::callbacks{
             // The process may have ended between the answer and this.
             .opened = [this, target] { begin_probes(target); },
@@ -183,7 +140,7 @@
                         return;
                     --watches_;
                     found->second.connection.reset();
-                    found->second.out_of_reach = true;
+                    found->second.connection_lost = true;
                     begin_probes(target);
                 }});
 }
@@ -192,74 +149,43 @@
     const auto found = targets_.find(target);
     if (found == targets_.end())
         return;
-    rotation_.add(target, found->second.until_us);
-    send_due_probe();
-}
-
-void restart_guard::send_due_probe() {
-    const std::int64_t now_us = event_loop::now_micros();
-    rotation_.expire(now_us);
-    if (rotation_.empty())
-        return timer_->cancel();
-    if (pacer_.next_us() > now_us)
-        return timer_->set(pacer_.next_us());
-    const auto target = rotation_.next(now_us);
-    if (!target)
-        return timer_->set(now_us + IDLE_PERIOD_US);
-    assert(targets_.contains(*target));
-    guarded_target& guarded = targets_.at(*target);
-    ++metrics_.counter("rattan_probes_sent_total");
-    guarded.probes.sent(now_us);
-    pacer_.sent(now_us, used_processor_micros());
-    http_.call(guarded.poll,
-               [this, target = *target, now_us,
-                alive = std::weak_ptr(alive_)](const http_call_result& result) {
-                   if (!alive.expired())
-                       handle_probe_end(target, now_us, result);
-               });
-    timer_->set(pacer_.next_us());
+    const auto members = members_.members_in_touch();
+    prober_.set_rank(static_cast<std::size_t>(
+        std::distance(members.begin(), members.lower_bound(own_host_))));
+    prober_.probe(target, found->second.poll, found->second.until_us);
 }
 
-void restart_guard::handle_probe_end(const std::string& target,
-                                     std::int64_t sent_us,
-                                     const http_call_result& result) {
-    // A target that refuses the token has seen a higher one.
-    const bool reached =
-        result.status == HTTP_OK || result.status == HTTP_CONFLICT;
-    rotation_.ended(target,
-                    reached              ? probe_end::reached
-                    : result.status != 0 ? probe_end::refused
-                                         : probe_end::unanswered,
-                    event_loop::now_micros());
-    // The next one may have waited for this one.
-    send_due_probe();
-    const auto found = targets_.find(target);
+void restart_guard::handle_reached(const reached_target& reached) {
+    update_counters();
+    const auto found = targets_.find(reached.target);
     if (found == targets_.end())
         return;
     guarded_target& guarded = found->second;
-    if (!reached) {
-        guarded.out_of_reach = true;
-        return;
-    }
-    ++metrics_.counter("rattan_probes_answered_total");
     if (!guarded.connection)
-        watch(target, guarded);
-    const auto probes = std::exchange(guarded.probes, {});
-    if (!std::exchange(guarded.out_of_reach, false))
+        watch(reached.target, guarded);
+    const bool lost = std::exchange(guarded.connection_lost, false);
+    if (!lost && !reached.missed)
         return;
-    const std::int64_t now_us = event_loop::now_micros();
-    log_event(log_level::info, "target_reached",
-              {{"target", target},
-               {"probes", std::to_string(probes.probes)},
-               {"probed_us", std::to_string(now_us - probes.first_us)},
-               {"longest_pause_us", std::to_string(probes.longest_pause_us)},
-               {"answered_after_us", std::to_string(now_us - sent_us)}});
+    log_event(
+        log_level::info, "target_reached",
+        {{"target", reached.target},
+         {"probes", std::to_string(reached.probes.probes)},
+         {"probed_us",
+          std::to_string(reached.probes.last_us - reached.probes.first_us)},
+         {"longest_pause_us", std::to_string(reached.probes.longest_pause_us)},
+         {"answered_after_us", std::to_string(reached.answered_after_us)}});
     if (guarded.reached)
         guarded.reached();
 }
 
+void restart_guard::update_counters() {
+    metrics_.counter("rattan_probes_sent_total") = prober_.sent();
+    metrics_.counter("rattan_probes_answered_total") = prober_.answered();
+}
+
 void restart_guard::end_guards() {
     end_scheduled_ = false;
+    update_counters();
     const std::int64_t now_us = event_loop::now_micros();
     std::erase_if(targets_, [&](const auto& item) {
         const guarded_target& guarded = item.second;
--- a/src/front/restart_guard.hpp
+++ b/src/front/restart_guard.hpp
@@ -2,13 +2,10 @@
 #pragma once
 
 #include "base/metrics_base.hpp"
-#include "dispatch/probe_pacer.hpp"
-#include "dispatch/probe_rotation.hpp"
-#include "dispatch/probe_series.hpp"
 #include "front/member_service.hpp"
+#include "front/target_prober.hpp"
 #include "net/connection_watch.hpp"
-#include "net/http_client.hpp"
-#include "net/micro_timer.hpp"
+#include "net/http_type.hpp"
 #include "net/rpc_server.hpp"
 
 #include <functional>
@@ -22,8 +19,8 @@
  * Shows each new process of a target a fencing token as soon as it can be
  * reached. A connection tells when the process ends; from then on a poll with
  * the token is repeated until it is answered. Several hosts do so for each
- * target, each within its own processor share, and apart from the owner's other
- * work, which would delay it.
+ * target, each within its own processor share, and on a thread that other work
+ * of the host does not delay.
  */
 class restart_guard {
 public:
@@ -48,12 +45,10 @@
 
 private:
     struct guarded_target {
-        std::string address; ///< IP and port.
-        http_call poll;
+        probe_request poll;
         std::function<void()> reached;
         std::int64_t until_us = 0;
-        bool out_of_reach = false;     ///< Since the last answer.
-        dispatch::probe_series probes; ///< Since the last answer.
+        bool connection_lost = false; ///< Since the last answer.
         /** Connections that may still be opened. */
         int connections_left = 0;
         /** Empty before the first answer, and while the process is gone. */
@@ -69,10 +64,8 @@
     void watch(const std::string& target, guarded_target& guarded);
     /** Probes a target whose process may have ended. */
     void begin_probes(const std::string& target);
-    /** Sends the probe that is due, if any, and waits for the next one. */
-    void send_due_probe();
-    void handle_probe_end(const std::string& target, std::int64_t sent_us,
-                          const http_call_result& result);
+    void handle_reached(const reached_target& reached);
+    void update_counters();
     /** Ends the guards whose time is over. */
     void end_guards();
 
@@ -80,13 +73,10 @@
     member_service& members_;
     metrics_registry& metrics_;
     host_id own_host_;
-    http_client http_; ///< Probes don't wait for the connections of others.
-    dispatch::probe_pacer pacer_;
-    dispatch::probe_rotation rotation_;
     std::map<std::string, guarded_target> targets_;
-    std::size_t watches_ = 0;            ///< Connections held.
-    std::unique_ptr<micro_timer> timer_; ///< Once a target is guarded.
+    std::size_t watches_ = 0; ///< Connections held.
     bool end_scheduled_ = false;
+    target_prober prober_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/tests/restart_guard_test.cpp
+++ b/tests/restart_guard_test.cpp
@@ -4,7 +4,9 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <map>
+#include <vector>
 
 using namespace rattan::dispatch;
 
@@ -34,12 +36,16 @@
         return probes_us + static_cast<std::int64_t>(
                                static_cast<double>(now_us) * other_share);
     };
-    pacer.sent(now_us, used_us());
+    const auto send = [&] {
+        pacer.measure(now_us, used_us(), probes_us);
+        pacer.sent(now_us);
+    };
+    send();
     const std::int64_t begin_us = now_us;
     const std::int64_t used_before_us = used_us();
     for (now_us = pacer.next_us(); now_us < begin_us + SECOND_US;
          now_us = std::max(now_us + probe_us, pacer.next_us())) {
-        pacer.sent(now_us, used_us());
+        send();
         probes_us += probe_us;
         ++out.probes;
     }
@@ -79,13 +85,97 @@
     EXPECT_LE(busy, 55);
 }
 
+// The owner's other work comes in bursts of 5 ms, in all 0.05 cores. Guards
+// against hosts that send no probe for milliseconds after each of them.
+TEST(restart_guard, probes_stay_even_beside_bursts_of_other_work) {
+    constexpr std::int64_t PROBE_US = 40;
+    constexpr std::int64_t BURST_US = 5'000;
+    constexpr std::int64_t BURST_PERIOD_US = 100'000;
+    probe_pacer pacer(250);
+    std::int64_t now_us = 10 * SECOND_US;
+    const std::int64_t end_us = now_us + 2 * SECOND_US;
+    std::int64_t probes_us = 0;
+    std::int64_t longest_us = 0;
+    int probes = 0;
+    while (now_us < end_us) {
+        const std::int64_t bursts_us = now_us / BURST_PERIOD_US * BURST_US;
+        pacer.measure(now_us, bursts_us + probes_us, probes_us);
+        pacer.sent(now_us);
+        probes_us += PROBE_US;
+        ++probes;
+        longest_us = std::max(longest_us, pacer.next_us() - now_us);
+        now_us = pacer.next_us();
+    }
+    const std::int64_t mean_us = 2 * SECOND_US / probes;
+    EXPECT_LE(mean_us, 310); // 0.1375 cores are left
+    EXPECT_LE(longest_us, 1'000);
+}
+
+// Three hosts probe a target. Guards against hosts that probe in step, so that
+// their probes count as one: random times would leave a quarter of the spacing
+// on average until the next probe of any of them.
+TEST(restart_guard, hosts_take_turns) {
+    constexpr int PROBES = 1'000;
+    constexpr std::int64_t SPACING_US = 200;
+    std::vector<std::int64_t> times_us;
+    for (std::size_t rank = 0; rank < 3; ++rank) {
+        probe_pacer pacer(1000);
+        // The clocks count from different times; the wall clocks agree.
+        const auto clock_offset_us = static_cast<std::int64_t>(rank) * 777'777;
+        pacer.place_slots(rank, clock_offset_us);
+        std::int64_t now_us = 10 * SECOND_US - clock_offset_us;
+        for (int i = 0; i < PROBES; ++i) {
+            pacer.measure(now_us, 0, 0);
+            pacer.sent(now_us);
+            now_us = pacer.next_us();
+            times_us.push_back(now_us + clock_offset_us);
+        }
+    }
+    std::sort(times_us.begin(), times_us.end());
+    double wait_us = 0;
+    for (std::size_t i = 1; i < times_us.size(); ++i) {
+        const auto gap_us = static_cast<double>(times_us[i] - times_us[i - 1]);
+        wait_us += gap_us * gap_us / 2;
+    }
+    wait_us /= static_cast<double>(times_us.back() - times_us.front());
+    EXPECT_LE(wait_us, 0.2 * SPACING_US);
+}
+
+// Other processes slow down the way to a target, so that probes wait for each
+// other there. Guards against hosts that go on at the same rate, with which
+// each probe arrives later than fewer ones would, and against hosts that stay
+// slow.
+TEST(restart_guard, probes_are_fewer_while_they_delay_each_other) {
+    probe_pacer pacer(1000);
+    std::int64_t now_us = 10 * SECOND_US;
+    const auto probes_in_a_second = [&](std::int64_t delay_us) {
+        int probes = 0;
+        for (const std::int64_t end_us = now_us + SECOND_US; now_us < end_us;
+             now_us = pacer.next_us()) {
+            pacer.measure(now_us, 0, 0);
+            pacer.sent(now_us);
+            if (++probes % 8 == 0)
+                pacer.add_delay(probes % 32 == 0 ? delay_us : 0);
+        }
+        return probes;
+    };
+    EXPECT_GE(probes_in_a_second(0), 4900);
+    // One in four is delayed, by 250 us on average.
+    probes_in_a_second(1'000);
+    EXPECT_LE(probes_in_a_second(1'000), 1'300);
+    EXPECT_GE(probes_in_a_second(1'000), 1'200);
+    probes_in_a_second(0);
+    EXPECT_GE(probes_in_a_second(0), 4900);
+}
+
 // Guards against a host that never probed and then sends all at once.
 TEST(restart_guard, first_probes_are_spaced) {
     probe_pacer pacer(250);
     std::int64_t now_us = 3600 * SECOND_US;
     std::int64_t used_us = 0;
     for (int i = 0; i < 100; ++i) {
-        pacer.sent(now_us, used_us);
+        pacer.measure(now_us, used_us, used_us);
+        pacer.sent(now_us);
         EXPECT_GE(pacer.next_us() - now_us, 200);
         now_us = pacer.next_us();
         used_us += 60;
