Target prober: time only probes that were on their way

A connection that is refused in the call takes no time, so a target that is reached directly at first and through a slower way later seemed to be delayed.

--- a/src/front/target_prober.cpp
+++ b/src/front/target_prober.cpp
@@ -212,13 +212,14 @@
     probed.probes.sent(now_us);
     pacer_.sent(now_us);
     ++sent_;
-    pending_probe probe{*target, probed.request, now_us,
-                        sent_ % PROBES_PER_TIMED == 0,
-                        probe_connection(*probed.request)};
+    pending_probe probe{.target = *target,
+                        .request = probed.request,
+                        .sent_us = now_us,
+                        .connection = probe_connection(*probed.request)};
     if (probe.connection.current() == probe_connection::state::ended)
-        handle_end(probe, now_us);
-    else
-        pending_.push_back(std::move(probe));
+        return handle_end(probe, now_us);
+    probe.timed = sent_ % PROBES_PER_TIMED == 0;
+    pending_.push_back(std::move(probe));
 }
 
 void target_prober::measure(std::int64_t now_us) {
