Relay: take over the age of a peer's state in an outage

A host that was replaced while the log was out of reach refused all callers (401) until the log was back, if its machine had been up for longer than the isolation limit.

Cause: the relay used the age of a peer's state only if that peer reached the log. Otherwise the time at which its own state was current stayed 0, so the age was the uptime of the machine.

A peer that is cut off reports an age that counts from when it last was up to date, so taking it over never makes a state look newer than it is.

--- a/src/relay/relay_read_service.cpp
+++ b/src/relay/relay_read_service.cpp
@@ -178,7 +178,8 @@
         ++metrics_.counter("records_from_peers");
         apply(record.offset, record.time_ms, record.body);
     }
-    if (page.log_reachable && fold_.state().next_offset >= page.next_offset)
+    // A peer that is cut off as well still knows how old its state is.
+    if (fold_.state().next_offset >= page.next_offset)
         fresh_.current_at = std::max(
             fresh_.current_at, requested_at - millis(page.current_age_ms));
     if (page.__isset.hosts && page.hosts_version > hosts_.version) {
--- a/tests/process_config_test.cpp
+++ b/tests/process_config_test.cpp
@@ -259,4 +259,33 @@
     }));
 }
 
+/** Guards against an age of the state that counts from the machine's boot. */
+TEST_F(config_test, host_replaced_in_an_outage_serves_up_to_the_limit) {
+    start(small_options());
+    const json set = {{"cell", {{"isolation_limit_s", 20}}}};
+    ASSERT_EQ(deployment->publish_change(config_version(), set, json::object())
+                  .status,
+              200);
+    const auto job = submit_accepted(0, BIG_ORG_KEY, gang_job(60'000));
+    deployment->inject_platform_fault({{"outage", true}});
+    deployment->signal_program(4, program::gate, SIGKILL);
+    deployment->signal_program(4, program::relay, SIGKILL);
+    deployment->start_program(4, program::relay);
+    // Otherwise the gate may read from the relay of another host.
+    ASSERT_TRUE(wait_until([&] {
+        const json relay =
+            send_http_request({.url = deployment->relay_url(4) + "/v1/state"})
+                .json();
+        return relay.is_object() && relay.value("ready", false);
+    }));
+    deployment->start_program(4, program::gate);
+    json seen;
+    const auto is_live = [&] {
+        seen = job_status(4, BIG_ORG_KEY, job);
+        return seen.is_object() && seen.value("state", "") == "live";
+    };
+    EXPECT_TRUE(wait_until(is_live)) << seen.dump();
+    EXPECT_TRUE(wait_until([&] { return !is_live(); }, 25'000)) << seen.dump();
+}
+
 } // namespace rattan::standin
