Treat a state of unknown age as older than any limit

The time at which a state was current began at 0, the boot of the machine. On a machine up for less than the isolation limit (2 h unless configured) a process that had not learnt the age of its state yet served with it.

freshness.state_of_unknown_age_is_not_served_after_boot failed before: a new state was fresh within 3 s of the boot.

--- a/src/stream/freshness_type.hpp
+++ b/src/stream/freshness_type.hpp
@@ -10,8 +10,11 @@
 
 /** When a process last knew its state to be up to date. */
 struct freshness {
-    mono_time current_at{}; ///< When the state was up to date with the log.
-    mono_time checked_at{}; ///< When log and peers were last asked for more.
+    /** Before the boot of the machine by more than any limit. */
+    static constexpr mono_time NEVER{-std::chrono::hours(24 * 365)};
+
+    mono_time current_at = NEVER; ///< When the state was up to date.
+    mono_time checked_at = NEVER; ///< When log and peers were last asked.
     bool log_reachable = false;
 
     [[nodiscard]] bool is_fresh(mono_time now) const {
