Gate: refuse reads of jobs with 503 while its state is too old

A gate whose state is older than the isolation limit answered GET and DELETE of jobs and their list with 401, key-refused, though the key was valid. Checks and submissions got 503, stale, with a Retry-After, as documented in docs/design/configuration.md. All of them share one function now.

config_test.host_replaced_in_an_outage_serves_up_to_the_limit expects stale; it got key-refused before.

--- a/src/gate/gate_check_service.cpp
+++ b/src/gate/gate_check_service.cpp
@@ -59,10 +59,8 @@
         return refuse(request, answer, *why);
     call.who = std::get<caller>(who);
     call.request = {request.request_id};
-    if (!may_serve(call.who))
-        return refuse(request, answer,
-                      {refusal::stale, "the state of this gate is older than "
-                                       "the isolation limit"});
+    if (refuse_if_stale(request, call.who, answer))
+        return;
     if (!call.idempotent && !request_time_ms(call.request))
         return refuse(request, answer,
                       {refusal::request_id_needed,
--- a/src/gate/gate_job_service.cpp
+++ b/src/gate/gate_job_service.cpp
@@ -49,10 +49,8 @@
     if (const auto* why = std::get_if<refused>(&admitted))
         return refuse(request, answer, *why);
     const caller who = std::get<caller>(admitted);
-    if (!may_serve(who))
-        return refuse(request, answer,
-                      {refusal::stale, "the state of this gate is older than "
-                                       "the isolation limit"});
+    if (refuse_if_stale(request, who, answer))
+        return;
     const request_id id{request.request_id};
     if (!request_time_ms(id))
         return refuse(request, answer,
@@ -201,8 +199,10 @@
         return;
     const auto who =
         authenticate(feed_.state().config.in_force, request.authorization);
-    if (!who || !may_serve(*who))
+    if (!who)
         return refuse(request, answer, {refusal::key_refused, ""});
+    if (refuse_if_stale(request, *who, answer))
+        return;
     json jobs = json::array();
     for (const auto& [id, job] : feed_.state().jobs) {
         if (job.spec.organisation != who->organisation ||
@@ -225,8 +225,10 @@
         return;
     const auto who =
         authenticate(feed_.state().config.in_force, request.authorization);
-    if (!who || !may_serve(*who))
+    if (!who)
         return refuse(request, answer, {refusal::key_refused, ""});
+    if (refuse_if_stale(request, *who, answer))
+        return;
     const job_id job{request.path.substr(std::string("/v1/jobs/").size())};
     if (!owns_job(job, who->organisation))
         return refuse(request, answer,
--- a/src/gate/gate_service.cpp
+++ b/src/gate/gate_service.cpp
@@ -220,6 +220,17 @@
     return true;
 }
 
+bool gate_service::refuse_if_stale(const http_request& request,
+                                   const caller& who,
+                                   const http_responder& answer) {
+    if (may_serve(who))
+        return false;
+    refuse(request, answer,
+           {refusal::stale,
+            "the state of this gate is older than the isolation limit"});
+    return true;
+}
+
 void gate_service::log_dump() const {
     log_state_dump(dump());
 }
--- a/src/gate/gate_service.hpp
+++ b/src/gate/gate_service.hpp
@@ -93,6 +93,9 @@
     /** Refuses a request while there is no state yet. @return If it did. */
     bool refuse_if_not_started(const http_request& request,
                                const http_responder& answer);
+    /** Refuses a caller if the state is too old for it. @return If it did. */
+    bool refuse_if_stale(const http_request& request, const caller& who,
+                         const http_responder& answer);
     void refuse(const http_request& request, const http_responder& answer,
                 const refused& why) const;
     [[nodiscard]] run_state run_state_after_refusal(const http_request& request,
--- a/tests/process_config_test.cpp
+++ b/tests/process_config_test.cpp
@@ -285,7 +285,9 @@
         return seen.is_object() && seen.value("state", "") == "live";
     };
     EXPECT_TRUE(wait_until(is_live)) << seen.dump();
+    // A valid key is not refused as such.
     EXPECT_TRUE(wait_until([&] { return !is_live(); }, 25'000)) << seen.dump();
+    EXPECT_EQ(seen.value("title", ""), "stale") << seen.dump();
 }
 
 } // namespace rattan::standin
