Probes: place the slots by the deployment as well

The hash of the store's address shifts the slots of all hosts of a deployment now.

restart_guard.deployments_do_not_probe_in_step needs the seed, which the pacer did not have; without it all ten phases are the same.

--- a/src/dispatch/probe_pacer.cpp
+++ b/src/dispatch/probe_pacer.cpp
@@ -39,15 +39,18 @@
 
 } // namespace
 
-probe_pacer::probe_pacer(std::int64_t milli_cores)
+probe_pacer::probe_pacer(std::int64_t milli_cores, std::uint64_t slot_seed)
     : share_(static_cast<double>(milli_cores > 0 ? milli_cores
                                                  : DEFAULT_MILLI_CORES) /
-             MILLI_CORES_PER_CORE * USABLE_SHARE) {
+             MILLI_CORES_PER_CORE * USABLE_SHARE),
+      first_phase_(std::ldexp(static_cast<double>(slot_seed), -64)),
+      slot_phase_(first_phase_) {
     update_costs(0, 0, 0);
 }
 
 void probe_pacer::place_slots(std::size_t rank, std::int64_t wall_offset_us) {
-    const double turns = static_cast<double>(rank) * GOLDEN_RATIO;
+    const double turns =
+        first_phase_ + static_cast<double>(rank) * GOLDEN_RATIO;
     slot_phase_ = turns - std::floor(turns);
     wall_offset_us_ = wall_offset_us;
 }
--- a/src/dispatch/probe_pacer.hpp
+++ b/src/dispatch/probe_pacer.hpp
@@ -15,8 +15,12 @@
  */
 class probe_pacer {
 public:
-    /** @param milli_cores Processor share of the host; 0: not stated. */
-    explicit probe_pacer(std::int64_t milli_cores);
+    /**
+     * @param milli_cores Processor share of the host; 0: not stated.
+     * @param slot_seed Places the slots of all hosts of a deployment, so that
+     * deployments that share machines do not probe in step.
+     */
+    explicit probe_pacer(std::int64_t milli_cores, std::uint64_t slot_seed = 0);
 
     /**
      * Places the slots of this host.
@@ -67,8 +71,9 @@
     /** The last slot that has begun. */
     [[nodiscard]] std::int64_t slot_before(std::int64_t now_us) const;
 
-    double share_;          ///< Cores.
-    double slot_phase_ = 0; ///< Of the slots, as part of their period.
+    double share_;       ///< Cores.
+    double first_phase_; ///< Of the slots of the host with rank 0.
+    double slot_phase_;  ///< Of the slots, as part of their period.
     std::int64_t wall_offset_us_ = 0;
     double cost_us_ = INITIAL_COST_US; ///< Mean of one probe.
     double other_share_ = 0;           ///< Mean of other work, in cores.
--- a/src/front/front_service.cpp
+++ b/src/front/front_service.cpp
@@ -130,7 +130,7 @@
                        owner_->update_hosts();
                }}),
       delegates_(loop, http_, members_, settings.host),
-      restarts_(loop, members_, metrics_, settings.host, settings.milli_cores),
+      restarts_(loop, members_, metrics_, settings),
       operator_follower_(
           loop, store_,
           {.topic = platform::OPERATOR_TOPIC, .max_wait = millis(700)},
--- a/src/front/restart_guard.cpp
+++ b/src/front/restart_guard.cpp
@@ -32,13 +32,15 @@
 } // namespace
 
 restart_guard::restart_guard(event_loop& loop, member_service& members,
-                             metrics_registry& metrics, host_id own_host,
-                             std::int64_t milli_cores)
+                             metrics_registry& metrics,
+                             const platform::platform_settings& settings)
     : loop_(loop), members_(members), metrics_(metrics),
-      own_host_(std::move(own_host)),
-      prober_(loop, milli_cores, [this](const reached_target& reached) {
-          handle_reached(reached);
-      }) {}
+      own_host_(settings.host),
+      prober_(
+          loop, settings.milli_cores,
+          [this](const reached_target& reached) { handle_reached(reached); },
+          XXH3_64bits(settings.store_address.data(),
+                      settings.store_address.size())) {}
 
 restart_guard::~restart_guard() {
     alive_.reset();
--- a/src/front/restart_guard.hpp
+++ b/src/front/restart_guard.hpp
@@ -25,8 +25,8 @@
 class restart_guard {
 public:
     restart_guard(event_loop& loop, member_service& members,
-                  metrics_registry& metrics, host_id own_host,
-                  std::int64_t milli_cores);
+                  metrics_registry& metrics,
+                  const platform::platform_settings& settings);
     ~restart_guard();
 
     /**
--- a/src/front/target_prober.cpp
+++ b/src/front/target_prober.cpp
@@ -48,8 +48,10 @@
 } // namespace
 
 target_prober::target_prober(event_loop& loop, std::int64_t milli_cores,
-                             std::function<void(const reached_target&)> reached)
-    : loop_(loop), reached_(std::move(reached)), pacer_(milli_cores) {
+                             std::function<void(const reached_target&)> reached,
+                             std::uint64_t slot_seed)
+    : loop_(loop), reached_(std::move(reached)),
+      pacer_(milli_cores, slot_seed) {
     pacer_.measure(event_loop::now_micros(),
                    used_processor_micros(CLOCK_PROCESS_CPUTIME_ID), 0);
     loop_.reactor().register_handler(this, ACE_Event_Handler::READ_MASK);
--- a/src/front/target_prober.hpp
+++ b/src/front/target_prober.hpp
@@ -40,9 +40,13 @@
  */
 class target_prober : public ACE_Event_Handler {
 public:
-    /** @param reached Called in the event loop. */
+    /**
+     * @param reached Called in the event loop.
+     * @param slot_seed See `probe_pacer`.
+     */
     target_prober(event_loop& loop, std::int64_t milli_cores,
-                  std::function<void(const reached_target&)> reached);
+                  std::function<void(const reached_target&)> reached,
+                  std::uint64_t slot_seed = 0);
     ~target_prober() override;
     target_prober(const target_prober&) = delete;
     target_prober& operator=(const target_prober&) = delete;
--- a/tests/restart_guard_test.cpp
+++ b/tests/restart_guard_test.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <vector>
 
 using namespace rattan::dispatch;
@@ -156,6 +157,21 @@
     EXPECT_LE(mean_wait_for_three_hosts(1'000), 0.2 * 800);
 }
 
+// Ten deployments share a machine. Guards against hosts of all of them that
+// probe at the same moments and then wait for each other's processor.
+TEST(restart_guard, deployments_do_not_probe_in_step) {
+    constexpr std::int64_t SLOT_US = 200;
+    std::set<std::int64_t> phases_us;
+    for (std::uint64_t i = 0; i < 10; ++i) {
+        probe_pacer pacer(1000, i << 60U);
+        pacer.place_slots(0, 0);
+        pacer.measure(10 * SECOND_US, 0, 0);
+        pacer.sent(10 * SECOND_US);
+        phases_us.insert(pacer.next_us() % SLOT_US);
+    }
+    EXPECT_EQ(phases_us.size(), 10U);
+}
+
 // Other processes slow down the way to a target, so that probes wait for each
 // other there. Guards against hosts that go on at the same rate, with which
 // each probe arrives later than fewer ones would, and against hosts that stay
