--- a/tests/restart_guard_test.cpp
+++ b/tests/restart_guard_test.cpp
@@ -151,8 +151,8 @@
     EXPECT_LE(mean_wait_for_three_hosts(0), 0.2 * 200);
 }
 
-// Guards against hosts that probe in step once delays have lengthened their
-// spacing.
+// Guards against hosts that probe in step once they have lengthened their
+// spacing because of delays, each at a time of its own.
 TEST(restart_guard, hosts_take_turns_at_a_longer_spacing) {
     EXPECT_LE(mean_wait_for_three_hosts(1'000), 0.2 * 800);
 }
