Owner: wait until an unanswered start is void, by scheduling.recovery

Cause: without a ticket nothing in a start names the process of its target. A task whose start had no answer ran again at once, and only a race kept the late start out of the target's next process.

Change: scheduling.recovery chooses between the two harms. retry, the default, races as before.

--- a/src/dispatch/lease_type.hpp
+++ b/src/dispatch/lease_type.hpp
@@ -5,6 +5,7 @@
 
 #include "dispatch/dispatch_type.hpp"
 
+#include <optional>
 #include <vector>
 
 namespace rattan::dispatch {
@@ -26,6 +27,11 @@
     millis remaining{0};
     /** Targets whose leases end earlier than that. */
     std::vector<silent_target> silent;
+    /**
+     * No start that had no answer so far can be carried out after this time.
+     * Nothing: not known.
+     */
+    std::optional<millis> starts;
 };
 
 } // namespace rattan::dispatch
--- a/src/dispatch/owner_base.hpp
+++ b/src/dispatch/owner_base.hpp
@@ -74,6 +74,8 @@
     virtual void remove_jobs(const std::vector<job_id>& jobs) = 0;
     /** The end of a job is stored: `state_of` returns it from now on. */
     virtual void end_stored(const job_id& job) = 0;
+    /** A task has waited so long for a start without an answer. */
+    virtual void start_wait_ended(millis /*waited*/) {}
     /** Logs a decision. */
     virtual void log(std::string_view event, const job_id& job,
                      const std::string& detail) = 0;
@@ -470,7 +472,7 @@
      */
     void release_unlisted_runs(target_state& target,
                                const std::set<task_id>& listed,
-                               mono_time sent_at);
+                               mono_time sent_at, const owner_clock& clock);
 
     // owner_restart.cpp
     /** Takes another process for the newest one of a target. */
@@ -511,6 +513,64 @@
      */
     void guard_restart(target_state& target, const owner_clock& clock);
 
+    // owner_recovery.cpp
+    /**
+     * Tells whether tasks of a step have to wait after a start without an
+     * answer and without a ticket, by the policy.
+     */
+    [[nodiscard]] bool waits_after_start(const step_ref& step) const;
+    /** Handles a start without an answer. */
+    void recover_start(target_state& target, const task_id& task,
+                       run_entry& run, mono_time sent_at,
+                       const owner_clock& clock);
+    /**
+     * The task of a run waits until its start can't be carried out.
+     * @param sent_at When the order was sent at the latest.
+     */
+    void await_start(const target_state& target, const task_id& task,
+                     run_entry& run, mono_time sent_at,
+                     const owner_clock& clock);
+    /** The same for a start that an earlier owner may have sent. */
+    void await_inherited_start(const task_id& task, run_entry& run,
+                               const owner_clock& clock) const;
+    /**
+     * Time after which the start of a run can't be carried out any more; zero
+     * if the task need not wait, the maximum while the start is on its way.
+     */
+    [[nodiscard]] mono_time start_void_at(const task_id& task,
+                                          const run_entry& run) const;
+    /**
+     * Tells whether a run that an answer does not list will not start later,
+     * or need not be waited for by the policy.
+     * @param sent_at When the poll with that answer was sent.
+     */
+    [[nodiscard]] bool start_excluded(const target_state& target,
+                                      const task_id& task, const run_entry& run,
+                                      mono_time sent_at) const;
+    /**
+     * Tells whether a run on a silent target has not started, or has lost its
+     * lease since.
+     */
+    [[nodiscard]] bool start_expired(const task_id& task, const run_entry& run,
+                                     mono_time now) const;
+    /** Tells whether an answer without delay may tell more about a run. */
+    [[nodiscard]] static bool run_state_unclear(const target_state& target,
+                                                const run_entry& run,
+                                                mono_time now);
+    /**
+     * After this time no start of this owner can be carried out any more that
+     * had no answer so far. Nothing if tasks do not wait for that.
+     */
+    [[nodiscard]] std::optional<millis>
+    longest_start_wait(const owner_clock& clock) const;
+    /** The start of a run is awaited until `start_void_at`. */
+    void begin_start_wait(const target_state& target, const task_id& task,
+                          run_entry& run, const owner_clock& clock);
+    /** Ends the wait for the start of a run, if there is one. */
+    void end_start_wait(const target_state& target, const task_id& task,
+                        run_entry& run, std::string_view outcome,
+                        const owner_clock& clock);
+
     // owner_lease.cpp
     /** Time by which a lease ends that any process of a target receives now. */
     [[nodiscard]] mono_time latest_lease_end(mono_time now) const;
--- a/src/dispatch/owner_guard.cpp
+++ b/src/dispatch/owner_guard.cpp
@@ -12,6 +12,9 @@
 }
 
 void owner::guard_restart(target_state& target, const owner_clock& clock) {
+    // A task that waits for its start does not run elsewhere meanwhile.
+    if (settings_.scheduling.recovery == start_recovery::wait)
+        return;
     const mono_time unanswered_at = unguarded_start_at(target);
     if (!may_arrive(unanswered_at, clock.now) || target.entry.address.empty() ||
         !may_send_orders(clock.now))
--- a/src/dispatch/owner_handover.cpp
+++ b/src/dispatch/owner_handover.cpp
@@ -91,6 +91,7 @@
                                   .incarnation = target.incarnation,
                                   .remaining = remaining});
     }
+    out.starts = longest_start_wait(clock);
     return out;
 }
 
--- a/src/dispatch/owner_lease.cpp
+++ b/src/dispatch/owner_lease.cpp
@@ -46,10 +46,12 @@
         return;
     std::vector<task_id> gone;
     for (const auto& [task, run] : target.runs)
-        if (run_expired(target, run, clock.now))
+        if (run_expired(target, run, clock.now) &&
+            start_expired(task, run, clock.now))
             gone.push_back(task);
     suspects_.runs_expired(target, gone);
     for (const task_id& task : gone) {
+        end_start_wait(target, task, target.runs.at(task), "expired", clock);
         output_.log("run_lapsed", task.step.job,
                     "target=" + target.entry.id.value);
         release_run(target, task);
--- a/src/dispatch/owner_poll.cpp
+++ b/src/dispatch/owner_poll.cpp
@@ -51,10 +51,9 @@
 
 void owner::send_poll(target_state& target, const owner_clock& clock) {
     const bool ends_stored = target.last_applied_end == target.last_stored_end;
-    const bool run_state_unclear = std::any_of(
-        target.runs.begin(), target.runs.end(), [](const auto& item) {
-            return item.second.phase == run_phase::stopping ||
-                   item.second.phase == run_phase::inherited;
+    const bool runs_unclear = std::any_of(
+        target.runs.begin(), target.runs.end(), [&](const auto& item) {
+            return run_state_unclear(target, item.second, clock.now);
         });
     const bool serving = std::any_of(
         target.runs.begin(), target.runs.end(), [](const auto& item) {
@@ -62,7 +61,7 @@
         });
     millis wait{0};
     if ((!target.runs.empty() || target.start_may_arrive(clock.now)) &&
-        ends_stored && !run_state_unclear && target.responsive)
+        ends_stored && !runs_unclear && target.responsive)
         wait = serving && target.best_effort_milli_cores > 0 ? SERVING_POLL_WAIT
                                                              : LONG_POLL_WAIT;
     // A process that has taken the place of the known one would forget its own
@@ -192,22 +191,27 @@
     const bool known =
         found != target.runs.end() && found->second.run == end.run;
     const run_entry run = known ? found->second : run_entry{.run = end.run};
-    if (known)
+    if (known) {
+        end_start_wait(target, end.task, found->second, "ended", clock);
         remove_run(target, end.task);
+    }
     apply_run_end(target, run, end, clock);
     // Where an earlier run took the place of the latest one, the start of that
     // one may still arrive.
     const task_entry* task = jobs_.find(end.task);
     if (known && task != nullptr && task->phase == task_phase::placed &&
-        task->target == target.entry.id && task->run > end.run)
-        request_stop(target, end.task,
-                     targets_.add_run(target, end.task,
-                                      {.run = task->run,
-                                       .demand = run.demand,
-                                       .best_effort = run.best_effort,
-                                       .organisation = run.organisation,
-                                       .phase_since = clock.now,
-                                       .start_uncertain = true}));
+        task->target == target.entry.id && task->run > end.run) {
+        run_entry& later = targets_.add_run(target, end.task,
+                                            {.run = task->run,
+                                             .demand = run.demand,
+                                             .best_effort = run.best_effort,
+                                             .organisation = run.organisation,
+                                             .phase_since = clock.now,
+                                             .start_uncertain = true});
+        if (run.ticket.empty() && waits_after_start(end.task.step))
+            await_start(target, end.task, later, clock.now, clock);
+        request_stop(target, end.task, later);
+    }
     update_backoff(target, end, clock);
     const step_spec* spec = jobs_.spec(end.task.step);
     if (end.end == run_end::done && spec != nullptr && may_copy(*spec) &&
@@ -238,21 +242,28 @@
     // Otherwise a run that is not listed may exist, or a later answer may list
     // its end.
     if (answer.complete && answer.ends_complete)
-        release_unlisted_runs(target, present, sent_at);
+        release_unlisted_runs(target, present, sent_at, clock);
 }
 
 void owner::release_unlisted_runs(target_state& target,
                                   const std::set<task_id>& listed,
-                                  mono_time sent_at) {
+                                  mono_time sent_at, const owner_clock& clock) {
     std::vector<task_id> gone;
     for (auto& [task, run] : target.runs) {
         if (listed.contains(task))
             continue;
+        const bool excluded = start_excluded(target, task, run, sent_at);
         switch (run.phase) {
         case run_phase::inherited:
             // It will not start later either: having seen the fencing token of
-            // this poll, the target rejects orders of earlier owners.
-            gone.push_back(task);
+            // this poll, the target rejects orders of earlier owners. Only its
+            // next process accepts them.
+            if (excluded)
+                gone.push_back(task);
+            else {
+                run.phase = run_phase::starting;
+                begin_start_wait(target, task, run, clock);
+            }
             break;
         case run_phase::unconfirmed:
             // It ended with the earlier process.
@@ -260,7 +271,8 @@
                 gone.push_back(task);
             break;
         case run_phase::stopping:
-            if (run.stop_acked != mono_time{} && sent_at > run.stop_acked)
+            if (run.stop_acked != mono_time{} && sent_at > run.stop_acked &&
+                excluded)
                 gone.push_back(task);
             break;
         case run_phase::running:
@@ -274,13 +286,19 @@
                             " run=" + std::to_string(run.run));
             gone.push_back(task);
             break;
-        case run_phase::recording:
         case run_phase::starting:
+            if (run.start_void_at != mono_time{} && excluded)
+                gone.push_back(task);
+            break;
+        case run_phase::recording:
             break;
         }
     }
-    for (const task_id& task : gone)
+    for (const task_id& task : gone) {
+        end_start_wait(target, task, target.runs.at(task), "not_started",
+                       clock);
         release_run(target, task);
+    }
 }
 
 void owner::process_listed_run(target_state& target, const listed_run& listed,
@@ -289,6 +307,8 @@
     const auto found = target.runs.find(listed.task);
     if (found != target.runs.end() && found->second.run == listed.run) {
         run_entry& run = found->second;
+        run.confirmed = true;
+        end_start_wait(target, listed.task, run, "started", clock);
         record_progress(target, run, listed);
         run.percent = listed.percent;
         run.measurement = listed.measurement;
--- a/src/dispatch/owner_start.cpp
+++ b/src/dispatch/owner_start.cpp
@@ -1,6 +1,8 @@
 /** @file Start orders, which are sent once the run is stored; their answers. */
 #include "dispatch/owner_base.hpp"
 
+#include <utility>
+
 namespace rattan::dispatch {
 
 void owner::send_starts(const owner_clock& clock) {
@@ -62,6 +64,7 @@
     grant_lease(target, lease_end_ms, clock.now);
     run.phase = run_phase::starting;
     run.phase_since = clock.now;
+    run.start_pending = true;
     output_.start(address_of(target), {.task = task,
                                        .run = run.run,
                                        .payload = job->record.spec.payload,
@@ -96,12 +99,18 @@
     if (!present)
         return;
     run_entry& run = found->second;
+    run.start_pending = false;
     // The next poll of an idle target may be far in the future.
     target->next_poll = std::min(target->next_poll, clock.now);
-    if (run.phase != run_phase::starting)
+    if (run.phase != run_phase::starting) {
+        if (unanswered && !run.confirmed && run.ticket.empty() &&
+            waits_after_start(task.step))
+            await_start(*target, task, run, clock.now, clock);
         return;
-    run.phase_since = clock.now;
+    }
+    const mono_time sent_at = std::exchange(run.phase_since, clock.now);
     if (answer.done) {
+        run.confirmed = true;
         jobs_.begin(task.step.job);
         run.started = clock.now;
         run.started_clock_ms = answer.clock_ms;
@@ -113,13 +122,8 @@
             poll_concurrently(*target, clock);
         return;
     }
-    if (unanswered) {
-        // The order may be carried out seconds later; a stop prevents that.
-        run.start_uncertain = true;
-        output_.log("start_unclear", task.step.job, "target=" + id.value);
-        request_stop(*target, task, run);
-        return;
-    }
+    if (unanswered)
+        return recover_start(*target, task, run, sent_at, clock);
     output_.log("start_refused", task.step.job,
                 "target=" + id.value + " cause=" +
                     std::to_string(static_cast<int>(answer.refusal)));
--- a/src/dispatch/owner_takeover.cpp
+++ b/src/dispatch/owner_takeover.cpp
@@ -36,7 +36,8 @@
                     .incarnation = tasks[i].incarnation};
                 target_state& target = inherit_target(run, clock);
                 suspects_.run_inherited(target, run.task, run.incarnation);
-                inherit_run(target, run, clock);
+                await_inherited_start(run.task, inherit_run(target, run, clock),
+                                      clock);
             }
         }
 }
--- a/src/dispatch/record_codec.cpp
+++ b/src/dispatch/record_codec.cpp
@@ -382,8 +382,11 @@
         for (const auto& row : owner.leases->silent)
             silent.push_back(json::array(
                 {row.target, row.incarnation, row.remaining.count()}));
-        out.push_back(
-            json::array({owner.leases->remaining.count(), std::move(silent)}));
+        json leases =
+            json::array({owner.leases->remaining.count(), std::move(silent)});
+        if (owner.leases->starts)
+            leases.push_back(owner.leases->starts->count());
+        out.push_back(std::move(leases));
     }
     return out.dump();
 }
@@ -404,6 +407,8 @@
                 {.target = row.at(0).get<target_id>(),
                  .incarnation = integer_at(row, 1, MAX_INTEGER),
                  .remaining = millis(integer_at(row, 2, MAX_INTEGER))});
+        if (leases.size() > 2)
+            out.leases->starts = millis(integer_at(leases, 2, MAX_INTEGER));
         return out;
     });
 }
--- a/src/dispatch/scheduling_policy.hpp
+++ b/src/dispatch/scheduling_policy.hpp
@@ -3,8 +3,27 @@
 
 #include "rattan/unit_type.hpp"
 
+#include <cstdint>
+
 namespace rattan::dispatch {
 
+/**
+ * When a task runs again whose start had no answer and would be accepted by a
+ * later process of its target: without a ticket, nothing in the order names the
+ * process.
+ */
+enum class start_recovery : std::uint8_t {
+    /** `retry`: as soon as the known process has stopped it. */
+    retry,
+    /**
+     * `wait_if_silent`: the same if the process that the order was sent to
+     * answers; otherwise as with `wait`.
+     */
+    wait_if_silent,
+    /** `wait`: once the start can no longer be carried out. */
+    wait,
+};
+
 /**
  * Scheduling features, all off by default. With all of them off the decisions
  * are those of deployments that name none of these settings.
@@ -31,6 +50,8 @@
      * last tasks are running waits for a moment for its end.
      */
     bool await_completion = false;
+    /** `scheduling.recovery`: after a start without an answer. */
+    start_recovery recovery = start_recovery::retry;
 };
 
 } // namespace rattan::dispatch
--- a/src/dispatch/target_table.hpp
+++ b/src/dispatch/target_table.hpp
@@ -50,6 +50,15 @@
     bool stop_sent = false;
     /** The start order had no answer and may still be carried out. */
     bool start_uncertain = false;
+    /** The start order is on its way, and its outcome is not known yet. */
+    bool start_pending = false;
+    /** The target has confirmed the start or has listed the run. */
+    bool confirmed = false;
+    /**
+     * No process of the target can carry out the start any more after this
+     * time, and the task does not run again before. Zero: it need not wait.
+     */
+    mono_time start_void_at{};
     std::int32_t percent = 0; ///< As last reported.
     /** Target's clock at that report; 0: none. */
     std::int64_t percent_clock_ms = 0;
--- a/src/front/owner_service.cpp
+++ b/src/front/owner_service.cpp
@@ -736,6 +736,11 @@
         }));
 }
 
+void owner_service::start_wait_ended(millis waited) {
+    context_.metrics.histogram("rattan_start_wait_micros")
+        .record(std::chrono::microseconds(waited).count());
+}
+
 void owner_service::log(std::string_view event, const job_id& job,
                         const std::string& detail) {
     log_event(log_level::info, event, {{"job", job.value}, {"detail", detail}});
--- a/src/front/owner_service.hpp
+++ b/src/front/owner_service.hpp
@@ -116,6 +116,7 @@
     void store(const std::vector<dispatch::store_record>& records) override;
     void remove_jobs(const std::vector<job_id>& jobs) override;
     void end_stored(const job_id& job) override { context_.end_stored(job); }
+    void start_wait_ended(millis waited) override;
     void log(std::string_view event, const job_id& job,
              const std::string& detail) override;
 
--- a/tests/dispatch_world.cpp
+++ b/tests/dispatch_world.cpp
@@ -21,6 +21,8 @@
 constexpr millis START_TIMEOUT{350}; ///< For the answer to a start order.
 /** After which a delayed poll is carried out. */
 constexpr millis POLL_DELAY{3000};
+/** An order without an answer is carried out until then, or never. */
+constexpr millis LONGEST_ORDER_DELAY{12'000};
 /** Between two probes of a target that drops requests to connect. */
 constexpr millis SILENT_PROBE_PERIOD{50};
 /** After which the entry of a target that has crashed is removed. */
@@ -300,6 +302,12 @@
             {.sent = true, .ticketed = !order.ticket.empty()}, clock());
         schedule_tick();
     };
+    if (starts_to_hold_ > 0) {
+        --starts_to_hold_;
+        held_starts_.push_back({now_, address, order, life});
+        after(START_TIMEOUT, unanswered);
+        return;
+    }
     if (std::bernoulli_distribution(delayed_start_share_)(random_)) {
         after(START_TIMEOUT, unanswered);
         after(start_delay_, [this, address, order, life] {
@@ -319,6 +327,20 @@
           });
 }
 
+bool simulated_cell::deliver_held_start() {
+    std::erase_if(held_starts_, [this](const held_start& held) {
+        return now_ - held.sent_at > LONGEST_ORDER_DELAY.count();
+    });
+    if (held_starts_.empty())
+        return false;
+    const held_start held = held_starts_.front();
+    held_starts_.pop_front();
+    if (!targets_[static_cast<size_t>(index_of(held.address.id))].down)
+        deliver_start(held.address, held.order, start_answer::timed_out,
+                      held.sent_in_life);
+    return true;
+}
+
 void simulated_cell::deliver_start(const target_address& address,
                                    const start_order& order,
                                    start_answer to_owner, int sent_in_life) {
@@ -388,15 +410,19 @@
             });
         if (!spec.long_lived || target.failing)
             after(takes, [this, index, task = order.task, run = order.run,
+                          gang = spec.gang,
                           process = target.entry.incarnation] {
                 fake_target& executor = targets_[static_cast<size_t>(index)];
                 if (options_.exact_lease_ends)
                     expire_leases(executor);
                 const auto found = executor.runs.find(task);
-                if (executor.entry.incarnation == process &&
-                    found != executor.runs.end() && found->second.run == run)
-                    end_run(executor, task,
-                            executor.failing ? run_end::failed : run_end::done);
+                if (executor.entry.incarnation != process ||
+                    found == executor.runs.end() || found->second.run != run)
+                    return;
+                if (options_.gangs_end_together && gang)
+                    return end_gang(executor, task);
+                end_run(executor, task,
+                        executor.failing ? run_end::failed : run_end::done);
             });
     }
     if (to_owner == start_answer::timed_out)
@@ -434,6 +460,23 @@
         std::exchange(target.pending_poll, nullptr)();
 }
 
+void simulated_cell::end_gang(fake_target& target, const task_id& member) {
+    const std::int32_t run = target.runs.at(member).run;
+    const auto count = static_cast<std::size_t>(
+        accepted_.at(member.step.job)
+            .spec.steps[static_cast<size_t>(member.step.step)]
+            .count);
+    std::vector<std::pair<fake_target*, task_id>> members;
+    for (fake_target& other : targets_)
+        for (const auto& [task, entry] : other.runs)
+            if (task.step == member.step && entry.run == run)
+                members.emplace_back(&other, task);
+    if (members.size() < count)
+        return end_run(target, member, run_end::gang_incomplete);
+    for (const auto& [other, task] : members)
+        end_run(*other, task, run_end::done);
+}
+
 void simulated_cell::stop(const target_address& address, const task_id& task,
                           std::int32_t run, std::int64_t fencing_token) {
     after(options_.order_latency / 2,
--- a/tests/dispatch_world.hpp
+++ b/tests/dispatch_world.hpp
@@ -6,6 +6,7 @@
 
 #include "dispatch/owner_base.hpp"
 
+#include <deque>
 #include <functional>
 #include <limits>
 #include <map>
@@ -57,6 +58,11 @@
     bool exact_lease_ends = false;
     /** Median of actual duration over estimate. */
     double estimate_factor = 1;
+    /**
+     * Members of a gang end together, and only if all of them run; otherwise
+     * each one ends by itself.
+     */
+    bool gangs_end_together = false;
 };
 
 /** Distribution of the jobs of a queue. */
@@ -187,6 +193,13 @@
         delayed_start_share_ = share;
         start_delay_ = delay;
     }
+    /** The next start orders have no answer: `deliver_held_start`. */
+    void hold_starts(int count) { starts_to_hold_ = count; }
+    /**
+     * The oldest order held arrives, unless its target is down.
+     * @return False if none is held that may still arrive.
+     */
+    bool deliver_held_start();
     /** Polls have no answer and arrive 3 s later. */
     void delay_polls(bool delay) { delay_polls_ = delay; }
     /** Stop orders have no answer and no effect. */
@@ -423,6 +436,8 @@
                        start_answer to_owner, int sent_in_life);
     void schedule_tick();
     void end_run(fake_target& target, task_id task, run_end how);
+    /** Ends the runs of a gang, or one that runs without the others. */
+    void end_gang(fake_target& target, const task_id& member);
     void send_poll_answer(const target_id& target, const poll_order& order,
                           mono_time sent_at);
     /** Probes a guarded target if it has a new process. */
@@ -488,6 +503,14 @@
     bool drop_start_answers_ = false;
     double delayed_start_share_ = 0;
     millis start_delay_{0};
+    int starts_to_hold_ = 0;
+    struct held_start {
+        std::int64_t sent_at = 0;
+        target_address address;
+        start_order order;
+        int sent_in_life = 0;
+    };
+    std::deque<held_start> held_starts_;
     bool delay_polls_ = false;
     bool ignore_stops_ = false;
     std::map<task_id, double> task_slowdowns_;
--- a/tests/platform_settings_test.cpp
+++ b/tests/platform_settings_test.cpp
@@ -77,6 +77,19 @@
     EXPECT_FALSE(partly_on.order_by_delay_cost);
 }
 
+// Guards against a recovery that differs from the one that was set.
+TEST(platform_settings_test, recovery_is_retry_unless_it_is_set) {
+    using dispatch::start_recovery;
+    EXPECT_EQ(load("").scheduling.recovery, start_recovery::retry);
+    EXPECT_EQ(load("contracts=base,sched,platform\n").scheduling.recovery,
+              start_recovery::retry);
+    EXPECT_EQ(load("scheduling.recovery=wait\n").scheduling.recovery,
+              start_recovery::wait);
+    EXPECT_EQ(load("scheduling.recovery=wait_if_silent\n").scheduling.recovery,
+              start_recovery::wait_if_silent);
+    EXPECT_THROW(load("scheduling.recovery=sure\n"), config_error);
+}
+
 // Guards against a misspelt value that is taken for a default.
 TEST(platform_settings_test, an_unknown_value_is_refused_with_its_field) {
     try {
--- a/tests/process_late_start_test.cpp
+++ b/tests/process_late_start_test.cpp
@@ -16,6 +16,8 @@
 /** Leave room on the other targets for the task of the late start. */
 constexpr int SOME_TASKS = 40;
 constexpr int JOBS = 3;
+/** A task that runs again at once has ended by then. */
+constexpr std::chrono::seconds RERUN_TIME{3};
 
 /** Hosts with a queue that needs no tickets. */
 class late_start_process_test : public front_process_test {
@@ -33,17 +35,25 @@
     }
 
     /** Restarts the target; the held start arrives at its next process. */
-    void restart_target() {
+    void restart_target(int arrives_after_ms = ARRIVES_AFTER_MS) {
         send_http_request(
             {.url =
                  admin_url("/admin/restart?target=" + std::to_string(TARGET) +
                            "&down_ms=" + std::to_string(DOWN_MS) +
-                           "&late_ms=" + std::to_string(ARRIVES_AFTER_MS))});
+                           "&late_ms=" + std::to_string(arrives_after_ms))});
         std::this_thread::sleep_for(
             std::chrono::milliseconds(DOWN_MS + LISTED_AFTER_MS));
     }
 };
 
+/** The same hosts; tasks wait after starts without an answer. */
+class waiting_start_process_test : public late_start_process_test {
+protected:
+    waiting_start_process_test() {
+        further_settings_ = "scheduling.recovery=wait\n";
+    }
+};
+
 } // namespace
 
 // The job has ended when the start arrives. Guards against hosts that reach the
@@ -69,3 +79,36 @@
     wait_for("the job to end",
              [&] { return job_state(job_name(1), 2) == "completed"; });
 }
+
+// The held start is the first message that the next process of its target gets.
+// Guards against a second run of a task whose first one may still start.
+TEST_F(waiting_start_process_test, late_start_is_the_only_run_of_its_task) {
+    submit_with_held_start(job_name(1), ALL_TASKS, 200);
+    wait_for("the other tasks to end",
+             [&] { return audit_count("done") == ALL_TASKS - 1; });
+    std::this_thread::sleep_for(RERUN_TIME);
+    EXPECT_EQ(job_state(job_name(1), 2), "running");
+    restart_target(0);
+    wait_for("the job to end",
+             [&] { return job_state(job_name(1), 2) == "completed"; });
+    EXPECT_EQ(audit_count("starts"), ALL_TASKS);
+}
+
+// The same after a change of the owner, which loses the knowledge that the
+// start had no answer. Guards against owners that start such a task at once.
+TEST_F(waiting_start_process_test, next_owner_waits_for_the_late_start) {
+    submit_with_held_start(job_name(1), ALL_TASKS, 200);
+    wait_for("the other tasks to end",
+             [&] { return audit_count("done") == ALL_TASKS - 1; });
+    const int owner = owner_host();
+    kill_process(hosts_.at(owner));
+    hosts_.erase(owner);
+    wait_for("another owner", [&] { return owner_host() != 0; });
+    std::this_thread::sleep_for(RERUN_TIME);
+    EXPECT_EQ(audit_count("starts"), ALL_TASKS - 1);
+    restart_target(0);
+    const int caller = hosts_.begin()->first;
+    wait_for("the job to end",
+             [&] { return job_state(job_name(1), caller) == "completed"; });
+    EXPECT_EQ(audit_count("starts"), ALL_TASKS);
+}
--- a/tests/restart_history_test.cpp
+++ b/tests/restart_history_test.cpp
@@ -40,7 +40,8 @@
 }
 
 /** One history; returns what was violated in it. */
-std::string play(std::uint32_t seed, unsigned faults) {
+std::string play(std::uint32_t seed, unsigned faults,
+                 start_recovery recovery = start_recovery::retry) {
     std::minstd_rand random(seed * 2654435761U + faults);
     const auto draw = [&random](int from, int to) {
         return std::uniform_int_distribution<int>(from, to)(random);
@@ -49,7 +50,8 @@
         {.seed = seed,
          .targets = TARGETS,
          .list_delay = millis(faults & LAGGING_LIST ? draw(5000, 12'000)
-                                                    : draw(10, 2500))});
+                                                    : draw(10, 2500)),
+         .settings = {.scheduling = {.recovery = recovery}}});
     cell.add_queue({.queue = "direct", .without_advice = true});
     cell.add_queue({.queue = "lasting", .without_advice = true});
     cell.add_queue({.queue = "advised",
@@ -154,6 +156,9 @@
     }
 };
 
+/** The same histories; tasks wait after starts without an answer. */
+class restart_history_waiting : public restart_history {};
+
 std::string history_name(const ::testing::TestParamInfo<history>& info) {
     const auto& [faults, seed] = info.param;
     return "faults" + std::to_string(faults) + "_seed" + std::to_string(seed);
@@ -179,6 +184,20 @@
     EXPECT_EQ(play_with(LATE_STARTS), "");
 }
 
+// The same late starts; an owner has no answer to some of its starts, or has
+// taken over from one that had none. Guards against tasks that run again before
+// all starts of theirs have arrived or are void.
+TEST_P(restart_history_waiting, keeps_the_rules_with_late_starts) {
+    const auto& [faults, seed] = GetParam();
+    EXPECT_EQ(play(seed, faults | LATE_STARTS, start_recovery::wait), "");
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    all, restart_history_waiting,
+    ::testing::Combine(::testing::Range(0U, ALL_FAULTS + 1U),
+                       ::testing::Range(std::uint32_t{1}, seeds() + 1)),
+    history_name);
+
 INSTANTIATE_TEST_SUITE_P(
     all, restart_history,
     ::testing::Combine(::testing::Range(0U, ALL_FAULTS + 1U),
