Owner: record confirmed starts, let lasting tasks race

Cause: with wait and wait_if_silent a new owner took every recorded run on a target that does not answer for one whose start may still arrive, also runs that had been at work for long.

Change: a start that a target has confirmed is recorded with the next change of its job, where tasks wait at all, so that a later owner need not wait for it. wait_unless_lasting waits for tasks that end and races for those that last.

--- a/src/dispatch/job_table.cpp
+++ b/src/dispatch/job_table.cpp
@@ -170,6 +170,7 @@
     assert(run > task->run);
     --step->waiting;
     task->phase = task_phase::placed;
+    task->confirmed = false;
     task->run = run;
     task->target = on.id;
     task->incarnation = on.incarnation;
@@ -197,6 +198,14 @@
         job->state = job_state::running;
 }
 
+void job_table::confirm(const task_id& id, std::int32_t run) {
+    task_entry* task = find(id);
+    if (task == nullptr || task->phase != task_phase::placed ||
+        task->run != run || std::exchange(task->confirmed, true))
+        return;
+    mark_changed(id.step.job);
+}
+
 void job_table::requeue(const task_id& id) {
     task_entry* task = find(id);
     if (task == nullptr || task->phase == task_phase::waiting ||
--- a/src/dispatch/job_table.hpp
+++ b/src/dispatch/job_table.hpp
@@ -59,6 +59,9 @@
 /** Progress of one task of a step. */
 struct task_entry {
     task_phase phase = task_phase::waiting;
+    /** The target has confirmed the start of `run`; recorded where it counts.
+     */
+    bool confirmed = false;
     std::int32_t run = 0;             ///< Highest run number assigned.
     std::vector<std::int32_t> failed; ///< Numbers of the failed runs.
     target_id target;                 ///< Set while a run may exist.
@@ -187,6 +190,9 @@
     void place_copy(const task_id& task, std::int32_t run,
                     const target_entry& on);
 
+    /** Records that a target has confirmed the start of a task's run. */
+    void confirm(const task_id& task, std::int32_t run);
+
     /**
      * A target has confirmed that a run of the job has started. This alone is
      * not stored: a later owner learns it from the target as well.
--- a/src/dispatch/owner_base.hpp
+++ b/src/dispatch/owner_base.hpp
@@ -566,6 +566,13 @@
     /** The start of a run is awaited until `start_void_at`. */
     void begin_start_wait(const target_state& target, const task_id& task,
                           run_entry& run, const owner_clock& clock);
+    /**
+     * The target has confirmed a start. A later owner need not wait for it if
+     * that is recorded.
+     */
+    void confirm_start(const task_id& task, run_entry& run);
+    /** Tells whether the configuration demands tickets for a job's starts. */
+    [[nodiscard]] bool needs_ticket(const job_entry& job) const;
     /** Ends the wait for the start of a run, if there is one. */
     void end_start_wait(const target_state& target, const task_id& task,
                         run_entry& run, std::string_view outcome,
--- a/src/dispatch/owner_poll.cpp
+++ b/src/dispatch/owner_poll.cpp
@@ -307,7 +307,7 @@
     const auto found = target.runs.find(listed.task);
     if (found != target.runs.end() && found->second.run == listed.run) {
         run_entry& run = found->second;
-        run.confirmed = true;
+        confirm_start(listed.task, run);
         end_start_wait(target, listed.task, run, "started", clock);
         record_progress(target, run, listed);
         run.percent = listed.percent;
--- a/src/dispatch/owner_recovery.cpp
+++ b/src/dispatch/owner_recovery.cpp
@@ -16,8 +16,31 @@
 
 bool owner::waits_after_start(const step_ref& step) const {
     const step_spec* spec = jobs_.spec(step);
-    return settings_.scheduling.recovery != start_recovery::retry &&
-           spec != nullptr && !spec->speculation_allowed;
+    if (spec == nullptr || spec->speculation_allowed)
+        return false;
+    switch (settings_.scheduling.recovery) {
+    case start_recovery::retry:
+        return false;
+    case start_recovery::wait_unless_lasting:
+        return !spec->long_lived;
+    case start_recovery::wait_if_silent:
+    case start_recovery::wait:
+        return true;
+    }
+    return false;
+}
+
+bool owner::needs_ticket(const job_entry& job) const {
+    const queue_config* queue = find_queue(config_, job.record.queue);
+    return queue != nullptr && queue->advice.has_value();
+}
+
+void owner::confirm_start(const task_id& task, run_entry& run) {
+    if (std::exchange(run.confirmed, true) || !waits_after_start(task.step))
+        return;
+    const job_entry* job = jobs_.find(task.step.job);
+    if (job != nullptr && !job->ended() && !needs_ticket(*job))
+        jobs_.confirm(task, run.run);
 }
 
 void owner::recover_start(target_state& target, const task_id& task,
@@ -47,7 +70,7 @@
 
 void owner::await_inherited_start(const task_id& task, run_entry& run,
                                   const owner_clock& clock) const {
-    if (!waits_after_start(task.step))
+    if (run.confirmed || !waits_after_start(task.step))
         return;
     if (handover_) {
         const millis wait = handover_->starts.value_or(MAX_ORDER_DELAY);
@@ -84,12 +107,8 @@
         return NOT_KNOWN;
     // The record of an inherited run does not tell whether its start had a
     // ticket.
-    if (!run.start_uncertain) {
-        const queue_config* queue = find_queue(config_, job->record.queue);
-        if (queue != nullptr && queue->advice)
-            return {};
-    }
-    return run.start_void_at;
+    return run.start_uncertain || !needs_ticket(*job) ? run.start_void_at
+                                                      : mono_time{};
 }
 
 bool owner::start_excluded(const target_state& target, const task_id& task,
--- a/src/dispatch/owner_start.cpp
+++ b/src/dispatch/owner_start.cpp
@@ -110,7 +110,7 @@
     }
     const mono_time sent_at = std::exchange(run.phase_since, clock.now);
     if (answer.done) {
-        run.confirmed = true;
+        confirm_start(task, run);
         jobs_.begin(task.step.job);
         run.started = clock.now;
         run.started_clock_ms = answer.clock_ms;
--- a/src/dispatch/owner_takeover.cpp
+++ b/src/dispatch/owner_takeover.cpp
@@ -36,8 +36,9 @@
                     .incarnation = tasks[i].incarnation};
                 target_state& target = inherit_target(run, clock);
                 suspects_.run_inherited(target, run.task, run.incarnation);
-                await_inherited_start(run.task, inherit_run(target, run, clock),
-                                      clock);
+                run_entry& inherited = inherit_run(target, run, clock);
+                inherited.confirmed = tasks[i].confirmed;
+                await_inherited_start(run.task, inherited, clock);
             }
         }
 }
--- a/src/dispatch/record_codec.cpp
+++ b/src/dispatch/record_codec.cpp
@@ -114,6 +114,8 @@
 
 /** Position of the crashes in a task's row; rows without crashes end here. */
 constexpr size_t CRASHES_COLUMN = 7;
+/** Position of `confirmed`; rows of tasks that are not so end before. */
+constexpr size_t CONFIRMED_COLUMN = 8;
 /** Position of `begun` in a crash's row; earlier versions end here. */
 constexpr size_t BEGUN_COLUMN = 5;
 
@@ -144,8 +146,11 @@
     json row =
         json::array({index, static_cast<int>(task.phase), task.run, task.failed,
                      task.checkpoint, task.target, task.incarnation});
-    if (!task.crashes.empty())
+    const bool confirmed = task.confirmed && task.phase == task_phase::placed;
+    if (!task.crashes.empty() || confirmed)
         row.push_back(encode_crashes(task.crashes));
+    if (confirmed)
+        row.push_back(true);
     return row;
 }
 
@@ -176,6 +181,8 @@
         task.incarnation = integer_at(row, 6, MAX_INTEGER);
         if (row.size() > CRASHES_COLUMN)
             task.crashes = decode_crashes(row.at(CRASHES_COLUMN));
+        if (row.size() > CONFIRMED_COLUMN)
+            task.confirmed = row.at(CONFIRMED_COLUMN).get<bool>();
         if (task.phase != task_phase::waiting)
             --step.waiting;
         if (task.phase == task_phase::done)
--- a/src/dispatch/scheduling_policy.hpp
+++ b/src/dispatch/scheduling_policy.hpp
@@ -20,6 +20,11 @@
      * answers; otherwise as with `wait`.
      */
     wait_if_silent,
+    /**
+     * `wait_unless_lasting`: `retry` for tasks that last, as they have no end
+     * that a second run could follow; `wait` for the others.
+     */
+    wait_unless_lasting,
     /** `wait`: once the start can no longer be carried out. */
     wait,
 };
--- a/tests/platform_settings_test.cpp
+++ b/tests/platform_settings_test.cpp
@@ -87,6 +87,9 @@
               start_recovery::wait);
     EXPECT_EQ(load("scheduling.recovery=wait_if_silent\n").scheduling.recovery,
               start_recovery::wait_if_silent);
+    EXPECT_EQ(
+        load("scheduling.recovery=wait_unless_lasting\n").scheduling.recovery,
+        start_recovery::wait_unless_lasting);
     EXPECT_THROW(load("scheduling.recovery=sure\n"), config_error);
 }
 
--- a/tests/start_recovery_model_test.cpp
+++ b/tests/start_recovery_model_test.cpp
@@ -194,7 +194,7 @@
 /** Length of the longest histories; less where the code runs slowly. */
 std::size_t max_steps() {
     const char* number = std::getenv("RECOVERY_MODEL_STEPS");
-    return number == nullptr ? 5 : std::stoul(number);
+    return number == nullptr ? 6 : std::stoul(number);
 }
 
 /** Kind of the tasks, and the starts that have no answer. */
--- a/tests/start_recovery_test.cpp
+++ b/tests/start_recovery_test.cpp
@@ -138,6 +138,25 @@
     EXPECT_EQ(cell_->starts(), 1);
 }
 
+// The start was answered before the owner changed, and the target is lost.
+// Guards against waits for starts that have been carried out.
+TEST_F(start_recovery_test, next_owner_does_not_wait_for_confirmed_starts) {
+    submit(start_recovery::wait, one_task());
+    cell_->run_until(millis(30'000));
+    step_spec step = one_task();
+    step.long_lived = true;
+    job_spec spec{.payload = "p"};
+    spec.steps.push_back(step);
+    job_ = cell_->submit("direct", "a", spec);
+    cell_->run_until(millis(31'000));
+    const auto target = cell_->target_of(job_);
+    ASSERT_TRUE(target);
+    cell_->lose_target(*target);
+    cell_->restart_owner();
+    cell_->run_until(millis(41'000));
+    EXPECT_EQ(cell_->runs_of(job_), 1U);
+}
+
 // An owner that resigns tells how long its starts may still arrive. Guards
 // against waits that begin again with each planned change of the owner.
 TEST_F(start_recovery_test, next_owner_does_not_wait_longer) {
@@ -230,6 +249,19 @@
     EXPECT_EQ(cell_->overlapping_runs(), 0);
 }
 
+// Guards against lasting tasks that are away for as long as tasks that end may
+// be, and against tasks that end which race.
+TEST_F(start_recovery_test, only_a_task_that_ends_waits) {
+    step_spec step = one_task();
+    submit(start_recovery::wait_unless_lasting, step);
+    cell_->run_until(millis(12'000));
+    EXPECT_EQ(cell_->starts(), 1);
+    step.long_lived = true;
+    submit(start_recovery::wait_unless_lasting, step);
+    cell_->run_until(UNANSWERED_BY + millis(500));
+    EXPECT_EQ(cell_->runs_of(job_), 1U);
+}
+
 INSTANTIATE_TEST_SUITE_P(policies, start_recovery_test,
                          ::testing::Values(start_recovery::wait_if_silent,
                                            start_recovery::wait));
