--- a/src/dispatch/job_table.hpp
+++ b/src/dispatch/job_table.hpp
@@ -59,10 +59,8 @@
 /** Progress of one task of a step. */
 struct task_entry {
     task_phase phase = task_phase::waiting;
-    /** The target has confirmed the start of `run`; recorded where it counts.
-     */
-    bool confirmed = false;
-    std::int32_t run = 0;             ///< Highest run number assigned.
+    bool confirmed = false; ///< The target has confirmed the start of `run`.
+    std::int32_t run = 0;   ///< Highest run number assigned.
     std::vector<std::int32_t> failed; ///< Numbers of the failed runs.
     target_id target;                 ///< Set while a run may exist.
     std::int64_t incarnation = 0;     ///< Of that target.
--- a/src/dispatch/owner_base.hpp
+++ b/src/dispatch/owner_base.hpp
@@ -566,6 +566,10 @@
     /** The start of a run is awaited until `start_void_at`. */
     void begin_start_wait(const target_state& target, const task_id& task,
                           run_entry& run, const owner_clock& clock);
+    /** Ends the wait for the start of a run, if there is one. */
+    void end_start_wait(const target_state& target, const task_id& task,
+                        run_entry& run, std::string_view outcome,
+                        const owner_clock& clock);
     /**
      * The target has confirmed a start. A later owner need not wait for it if
      * that is recorded.
@@ -573,10 +577,6 @@
     void confirm_start(const task_id& task, run_entry& run);
     /** Tells whether the configuration demands tickets for a job's starts. */
     [[nodiscard]] bool needs_ticket(const job_entry& job) const;
-    /** Ends the wait for the start of a run, if there is one. */
-    void end_start_wait(const target_state& target, const task_id& task,
-                        run_entry& run, std::string_view outcome,
-                        const owner_clock& clock);
 
     // owner_lease.cpp
     /** Time by which a lease ends that any process of a target receives now. */
--- a/src/dispatch/record_codec.cpp
+++ b/src/dispatch/record_codec.cpp
@@ -55,6 +55,8 @@
 constexpr std::size_t MEMORY_FIELD = 4;
 /** Position of the leases in the record of an owner that has resigned. */
 constexpr std::size_t LEASES_FIELD = 4;
+/** Position of the wait for starts; leases without it end before. */
+constexpr std::size_t STARTS_FIELD = 2;
 
 /** Runs a decoder and converts its exceptions to `decode_error`. */
 template <typename Decode>
@@ -414,8 +416,9 @@
                 {.target = row.at(0).get<target_id>(),
                  .incarnation = integer_at(row, 1, MAX_INTEGER),
                  .remaining = millis(integer_at(row, 2, MAX_INTEGER))});
-        if (leases.size() > 2)
-            out.leases->starts = millis(integer_at(leases, 2, MAX_INTEGER));
+        if (leases.size() > STARTS_FIELD)
+            out.leases->starts =
+                millis(integer_at(leases, STARTS_FIELD, MAX_INTEGER));
         return out;
     });
 }
